--- /dev/null
+++ b/src/agent/rows.rs
@@ -0,0 +1,197 @@
+//! Rows of operators' tables that an agent has.
+
+use bytes::Bytes;
+use serde_json::{Value, json};
+
+use crate::agent::Core;
+use crate::id::SubmissionId;
+use crate::owner::entry::{Entry, Step, TaskState};
+use crate::time::Moment;
+
+/// Most rows that one process sends for a table.
+const MOST_ROWS: usize = 5_000;
+
+impl Core {
+    /// Rows of `table` as a JSON array.
+    pub(super) fn rows(&self, now: Moment, table: &str, about: Option<SubmissionId>) -> Bytes {
+        let rows: Vec<Value> = match table {
+            "requests" => self.submission_rows(now, about, false),
+            "jobs" => self.submission_rows(now, about, true),
+            "tasks" => self.task_rows(about),
+            "steps" => self.step_rows(about),
+            "targets" => vec![self.target_row()],
+            "workers" => vec![self.worker_row()],
+            "members" => vec![self.member_row(now)],
+            "ranges" => self.range_rows(),
+            _ => Vec::new(),
+        };
+        serde_json::to_vec(&rows).unwrap_or_default().into()
+    }
+
+    fn entries(&self, about: Option<SubmissionId>) -> impl Iterator<Item = &Entry> {
+        let entries = self.owner.entries().values();
+        let wanted = entries.filter(move |entry| about.is_none_or(|id| entry.submission.id == id));
+        wanted.take(MOST_ROWS)
+    }
+
+    fn submission_rows(&self, now: Moment, about: Option<SubmissionId>, jobs: bool) -> Vec<Value> {
+        let entries = self.entries(about);
+        let entries = entries.filter(|entry| entry.submission.is_job == jobs);
+        let row = |entry: &Entry| {
+            let submission = &entry.submission;
+            let answer = entry.answer();
+            json!({
+                "id": submission.id.to_string(),
+                "service": submission.service,
+                "kind": submission.kind,
+                "team": submission.team,
+                "priority": submission.priority,
+                "state": entry.word(),
+                "effect": answer.map(|answer| answer.effect),
+                "tasks": entry.open_tasks().len(),
+                "owner": self.node.me.name,
+                "age_ms": now.wall_ms.saturating_sub(entry.accepted_ms),
+            })
+        };
+        entries.map(row).collect()
+    }
+
+    fn task_rows(&self, about: Option<SubmissionId>) -> Vec<Value> {
+        let entries = self.entries(about);
+        let rows = entries.flat_map(|entry| {
+            let tasks = (0u32..).zip(entry.open_tasks());
+            tasks.map(move |(index, state)| self.task_row(entry, index, state))
+        });
+        rows.take(MOST_ROWS).collect()
+    }
+
+    fn task_row(&self, entry: &Entry, index: u32, state: &TaskState) -> Value {
+        json!({
+            "id": entry.submission.id.to_string(),
+            "index": index,
+            "service": entry.submission.service,
+            "kind": entry.submission.kind,
+            "state": state.word(),
+            "target": state.gate().map(|gate| gate.name.clone()),
+            "owner": self.node.me.name,
+        })
+    }
+
+    fn step_rows(&self, about: Option<SubmissionId>) -> Vec<Value> {
+        let mut rows = Vec::new();
+        for entry in self.entries(about) {
+            let answer = entry.answer();
+            rows.push(json!({
+                "step": "accepted",
+                "owner": self.node.me.name,
+                "range": entry.range.0,
+                "at_ms": entry.accepted_ms,
+            }));
+            rows.extend(entry.steps.iter().map(step_row));
+            rows.extend(answer.map(|answer| {
+                json!({
+                    "step": "answered",
+                    "code": answer.code.name(),
+                    "effect": answer.effect,
+                    "message": answer.message,
+                })
+            }));
+        }
+        rows
+    }
+
+    fn target_row(&self) -> Value {
+        let placer = self.owner.placer();
+        let ejected: Vec<_> = placer.ejected().map(|gate| gate.name.clone()).collect();
+        let sample = placer.known(&self.node.me).map(|known| &known.sample);
+        json!({
+            "name": self.node.me.name,
+            "service": self.settings.service,
+            "failure_domain": self.settings.process.failure_domain,
+            "slots": self.settings.slots,
+            "running": self.gate.running(),
+            "queued": sample.map_or(0, |sample| sample.queued),
+            "mean_run_ms": sample.map_or(0, |sample| sample.mean_run_us / 1_000),
+            "failed_percent": sample.map_or(0, |sample| sample.failed_percent),
+            "drained": self.node.fleet.drained(&self.node.me),
+            "ejects": ejected,
+        })
+    }
+
+    fn worker_row(&self) -> Value {
+        json!({
+            "name": self.node.me.name,
+            "target": self.settings.target.to_string(),
+            "rack": self.settings.process.rack,
+            "failure_domain": self.settings.process.failure_domain,
+            "accelerators": self.settings.accelerators,
+            "running": self.gate.running(),
+        })
+    }
+
+    fn member_row(&self, now: Moment) -> Value {
+        let leased_us = self.ownership.leased_until_us();
+        json!({
+            "name": self.node.me.name,
+            "run": format!("{:08x}", self.node.me.run as u32),
+            "role": "agent",
+            "peer": self.node.fleet.record_of(&self.node.me).map(|record| record.peer.to_string()),
+            "failure_domain": self.settings.process.failure_domain,
+            "config": self.node.fleet.config_revision(),
+            "table": self.node.fleet.table().revision,
+            "ranges": self.owner.held().len(),
+            "lease_left_ms": now.left(leased_us).as_millis() as u64,
+            "stopping": self.stopping.is_some(),
+            "work_messages": self.node.counts.work,
+            "control_messages": self.node.counts.control,
+            "void_messages": self.node.counts.void,
+        })
+    }
+
+    fn range_rows(&self) -> Vec<Value> {
+        let mut held: Vec<_> = self.owner.held().iter().collect();
+        held.sort_by_key(|(range, _)| **range);
+        let row = |(range, held): &(&crate::id::RangeId, &crate::owner::ranges::Held)| {
+            json!({
+                "range": range.0,
+                "owner": self.node.me.name,
+                "epoch": held.epoch.0,
+                "state": held.word(),
+            })
+        };
+        held.iter().map(row).collect()
+    }
+}
+
+fn step_row(step: &Step) -> Value {
+    match step {
+        Step::Placed {
+            index,
+            gate,
+            load,
+            candidates,
+        } => json!({
+            "step": "placed",
+            "task": index,
+            "target": gate.name,
+            "load": (load * 10.0).round() / 10.0,
+            "candidates": candidates,
+        }),
+        Step::Refused {
+            index,
+            gate,
+            reason,
+        } => json!({
+            "step": "refused",
+            "task": index,
+            "target": gate.name,
+            "reason": reason,
+        }),
+        Step::Lost { index, gate } => json!({
+            "step": "lost",
+            "task": index,
+            "target": gate.name,
+        }),
+        Step::Inherited => json!({ "step": "inherited" }),
+    }
+}
--- /dev/null
+++ b/src/bin/winghold-agent/main.rs
@@ -0,0 +1,25 @@
+//! The `winghold-agent` daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+
+#[derive(Debug, Parser)]
+#[command(name = "winghold-agent", version, about)]
+struct Args {
+    /// Settings of this process
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    match winghold::daemon::run_agent(&args.settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("winghold-agent: {err}");
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/winghold/main.rs
@@ -0,0 +1,19 @@
+//! The `winghold` command: a local fleet, and what operators do with one.
+
+mod app;
+mod clap_app;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+fn main() -> ExitCode {
+    let args = clap_app::Args::parse();
+    match app::run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("winghold: {err}");
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/http.rs
@@ -0,0 +1,325 @@
+//! The HTTP side of an entry.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Method, Request, Response};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use serde_json::json;
+use slog::{debug, warn};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::code::{Effect, ResultCode};
+use crate::entry::parse::{self, ID_HEADER, ParseResult, Parsed, refuse};
+use crate::entry::{Desk, operator};
+use crate::error::Result;
+use crate::id::SubmissionId;
+use crate::message::{Answer, Ask, Submission};
+use crate::supervisor::Stop;
+
+/// Header with the id of a submission on its answer.
+const ANSWER_ID: &str = "winghold-id";
+/// Header with the number of the result code.
+const ANSWER_CODE: &str = "winghold-code";
+/// Header with what is known of the execution.
+const ANSWER_EFFECT: &str = "winghold-effect";
+/// Least buffer that the HTTP library takes for headers.
+const LEAST_HEADER_BYTES: usize = 8 << 10;
+/// Longest wait for open connections when the entry stops.
+const CLOSING: Duration = Duration::from_secs(5);
+/// What a caller gets whose connection is over the limit.
+const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\
+retry-after: 1\r\nconnection: close\r\n\r\n";
+
+pub(crate) type Reply = Response<Full<Bytes>>;
+
+/// Serves until `stop`, then closes connections as they become idle.
+pub(crate) async fn serve(listener: TcpListener, desk: Desk, stop: Stop) -> Result<()> {
+    let graceful = GracefulShutdown::new();
+    let connections = desk.view().config.limits.connections;
+    let permits = Arc::new(Semaphore::new(connections));
+    let stopped = stop.asked();
+    tokio::pin!(stopped);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut stopped => break,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                warn!(desk.log, "accept"; "error" => %err);
+                desk.timer.sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        match permits.clone().try_acquire_owned() {
+            Ok(permit) => {
+                let connection = connection(stream, &desk, &graceful);
+                tokio::spawn(async move {
+                    connection.await;
+                    drop(permit);
+                });
+            }
+            Err(_) => {
+                tokio::spawn(turn_away(stream));
+            }
+        }
+    }
+    drop(listener);
+    desk.timer.within(CLOSING, graceful.shutdown()).await;
+    Ok(())
+}
+
+async fn turn_away(mut stream: TcpStream) {
+    let _ = stream.write_all(TOO_MANY).await;
+    let _ = stream.shutdown().await;
+}
+
+fn connection(
+    stream: TcpStream,
+    desk: &Desk,
+    graceful: &GracefulShutdown,
+) -> impl Future<Output = ()> + use<> {
+    let _ = stream.set_nodelay(true);
+    let limits = desk.view().config.limits.clone();
+    let log = desk.log.clone();
+    let desk = desk.clone();
+    let service = service_fn(move |req| {
+        let desk = desk.clone();
+        async move { Ok::<_, Infallible>(answer(&desk, req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_ms))
+        .max_headers(limits.headers)
+        .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    async move {
+        if let Err(err) = connection.await {
+            debug!(log, "connection"; "error" => %err);
+        }
+    }
+}
+
+async fn answer(desk: &Desk, req: Request<Incoming>) -> Reply {
+    let stopping = desk.view().stopping;
+    let mut reply = route(desk, req).await;
+    if stopping {
+        reply
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn route(desk: &Desk, req: Request<Incoming>) -> Reply {
+    let path = req.uri().path().to_string();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let method = req.method().clone();
+    match (&method, parts.as_slice()) {
+        (&Method::POST, ["v1", "services", service, "requests"]) => {
+            submit(desk, service, req, false).await
+        }
+        (&Method::POST, ["v1", "services", service, "jobs"]) => {
+            submit(desk, service, req, true).await
+        }
+        (&Method::GET, ["v1", "jobs", id]) => about(desk, Ask::Lookup, id).await,
+        (&Method::DELETE, ["v1", "jobs" | "requests", id]) => about(desk, Ask::Cancel, id).await,
+        (&Method::GET, ["v1", "ready"]) => ready(desk),
+        (_, ["v1", "operator", rest @ ..]) => operator::route(desk, &method, rest, req).await,
+        _ => refused(
+            None,
+            &refuse(ResultCode::NotFound, &format!("path: no `{path}`")),
+        ),
+    }
+}
+
+/// Whether the balancer should send callers here.
+fn ready(desk: &Desk) -> Reply {
+    let view = desk.view();
+    let ready = !view.stopping && view.revision > 0 && view.owned;
+    let status = if ready { 200 } else { 503 };
+    let body = json!({ "ready": ready, "config": view.revision });
+    json_reply(status, &body)
+}
+
+async fn submit(desk: &Desk, service: &str, req: Request<Incoming>, job: bool) -> Reply {
+    let waits = req
+        .uri()
+        .query()
+        .is_none_or(|query| !query.contains("wait=false"));
+    let given = req.headers().get(ID_HEADER).and_then(|id| id.to_str().ok());
+    let given = given.and_then(|id| id.parse().ok());
+    match read_submission(desk, service, req, job).await {
+        Err(answer) => refused(given, &answer),
+        Ok(parsed) if waits => wait(desk, parsed).await,
+        Ok(parsed) => start(desk, parsed).await,
+    }
+}
+
+async fn read_submission(
+    desk: &Desk,
+    service: &str,
+    req: Request<Incoming>,
+    job: bool,
+) -> ParseResult<Parsed> {
+    let (head, body) = req.into_parts();
+    let config = desk.view().config;
+    let body = read_body(desk, body).await?;
+    let wall_ms = desk.timer.now().wall_ms;
+    match job {
+        true => parse::job(&config, service, &head.headers, &body, wall_ms),
+        false => parse::request(&config, service, &head.headers, body, wall_ms),
+    }
+}
+
+/// Reads a body within the limits on its size and time.
+pub(crate) async fn read_body(desk: &Desk, body: Incoming) -> ParseResult<Bytes> {
+    let limits = desk.view().config.limits.clone();
+    let most = limits.body_bytes;
+    let too_large = || {
+        let text = format!("body: over the limit of {most} bytes");
+        refuse(ResultCode::TooLarge, &text)
+    };
+    if body.size_hint().lower() > most as u64 {
+        return Err(too_large());
+    }
+    let reading = Limited::new(body, most).collect();
+    let limit = Duration::from_millis(limits.body_ms);
+    match desk.timer.within(limit, reading).await {
+        None => Err(refuse(ResultCode::SlowCaller, "body: sent too slowly")),
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(err)) if err.is::<LengthLimitError>() => Err(too_large()),
+        Some(Err(_)) => Err(refuse(ResultCode::BadRequest, "body: not all of it came")),
+    }
+}
+
+async fn wait(desk: &Desk, parsed: Parsed) -> Reply {
+    let Parsed { submission, fresh } = parsed;
+    let (id, is_job) = (submission.id, submission.is_job);
+    let answer = desk.ask(Ask::Submit, submission, fresh).await;
+    reply(id, is_job, &answer.unwrap_or_else(stopped))
+}
+
+/// Starts a submission that nobody waits for, and makes sure of its owner.
+async fn start(desk: &Desk, parsed: Parsed) -> Reply {
+    let Parsed { submission, fresh } = parsed;
+    let id = submission.id;
+    let question = Submission {
+        tasks: Vec::new(),
+        ..submission.clone()
+    };
+    desk.tell(Ask::Submit, submission, fresh);
+    let answer = desk.ask(Ask::Lookup, question, false).await;
+    reply(id, true, &answer.unwrap_or_else(stopped))
+}
+
+async fn about(desk: &Desk, ask: Ask, id: &str) -> Reply {
+    let id = match parse::parse_id(id) {
+        Ok(id) => id,
+        Err(answer) => return refused(None, &answer),
+    };
+    let question = Submission::question(id, desk.view().config.limits.deadline_ms.min(10_000));
+    let answer = desk.ask(ask, question, false).await;
+    reply(id, true, &answer.unwrap_or_else(stopped))
+}
+
+fn stopped() -> Answer {
+    Answer::failure(ResultCode::Stopping, Effect::Unknown, "the entry stopped")
+}
+
+fn reply(id: SubmissionId, is_job: bool, answer: &Answer) -> Reply {
+    match (answer.code, is_job, answer.results.first()) {
+        (ResultCode::Complete, false, Some(body)) => {
+            marked(id, answer, Response::new(Full::new(body.clone())))
+        }
+        (ResultCode::Complete, true, _) => marked(id, answer, job_reply(id, answer)),
+        _ => refused(Some(id), answer),
+    }
+}
+
+/// The whole answer of a job: results that are JSON stay as they are.
+fn job_reply(id: SubmissionId, answer: &Answer) -> Reply {
+    let mut body = format!(
+        "{{\"id\":\"{id}\",\"code\":{},\"name\":\"{}\",\"effect\":\"ran\",\"results\":[",
+        answer.code.number(),
+        answer.code.name(),
+    );
+    for (index, result) in answer.results.iter().enumerate() {
+        if index > 0 {
+            body.push(',');
+        }
+        body.push_str(&as_json(result));
+    }
+    body.push_str("]}\n");
+    Response::new(Full::new(Bytes::from(body)))
+}
+
+fn as_json(result: &Bytes) -> String {
+    let text = String::from_utf8_lossy(result);
+    match serde_json::from_str::<&serde_json::value::RawValue>(&text) {
+        Ok(raw) => raw.get().to_string(),
+        Err(_) => json!(text).to_string(),
+    }
+}
+
+fn marked(id: SubmissionId, answer: &Answer, mut reply: Reply) -> Reply {
+    let headers = reply.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(ANSWER_CODE, HeaderValue::from(answer.code.number()));
+    headers.insert(
+        ANSWER_EFFECT,
+        HeaderValue::from_static(effect_word(answer.effect)),
+    );
+    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
+        headers.insert(ANSWER_ID, id);
+    }
+    reply
+}
+
+fn effect_word(effect: Effect) -> &'static str {
+    match effect {
+        Effect::NotRun => "not_run",
+        Effect::Ran => "ran",
+        Effect::Unknown => "unknown",
+    }
+}
+
+/// A failure or refusal in full.
+pub(crate) fn refused(id: Option<SubmissionId>, answer: &Answer) -> Reply {
+    let body = json!({
+        "id": id.map(|id| id.to_string()),
+        "code": answer.code.number(),
+        "name": answer.code.name(),
+        "effect": effect_word(answer.effect),
+        "message": answer.message,
+        "retry_after_ms": answer.retry_after_ms,
+    });
+    let mut reply = json_reply(answer.code.status(), &body);
+    if let Some(ms) = answer.retry_after_ms {
+        let seconds = HeaderValue::from(ms.div_ceil(1_000));
+        reply.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    reply
+}
+
+/// A JSON body with a status.
+pub(crate) fn json_reply(status: u16, body: &serde_json::Value) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from(format!("{body}\n"))));
+    *reply.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    let kind = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, kind);
+    reply
+}
--- /dev/null
+++ b/src/entry/operator.rs
@@ -0,0 +1,212 @@
+//! What operators ask of an entry: configuration, its trail, drains, tables.
+
+use bytes::Bytes;
+use http::{Method, Request};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use slog::info;
+
+use crate::code::ResultCode;
+use crate::config_store::{ConfigStore, Edit, Proposal};
+use crate::entry::Desk;
+use crate::entry::http::{Reply, json_reply, read_body, refused};
+use crate::entry::parse::refuse;
+use crate::error::Error;
+use crate::fleet::ConfigRecord;
+use crate::id::SubmissionId;
+
+/// Tables that members fill.
+const TABLES: &[&str] = &[
+    "requests", "jobs", "tasks", "steps", "targets", "workers", "members", "ranges",
+];
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ApplyBody {
+    base: u64,
+    document: String,
+    who: String,
+    #[serde(default)]
+    note: String,
+    change_id: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainBody {
+    who: String,
+    #[serde(default)]
+    note: String,
+    change_id: String,
+}
+
+/// Answers an operator.
+pub(crate) async fn route(
+    desk: &Desk,
+    method: &Method,
+    path: &[&str],
+    req: Request<Incoming>,
+) -> Reply {
+    match (method, path) {
+        (&Method::GET, ["config"]) => config(desk).await,
+        (&Method::PUT, ["config"]) => apply(desk, req).await,
+        (&Method::GET, ["history"]) => history(desk).await,
+        (&Method::POST, ["targets", name, "drain"]) => drain(desk, name, true, req).await,
+        (&Method::POST, ["targets", name, "undrain"]) => drain(desk, name, false, req).await,
+        (&Method::GET, ["services"]) => json_reply(200, &services(desk)),
+        (&Method::GET, ["tables", name]) => table(desk, name, req.uri().query()).await,
+        _ => refused(
+            None,
+            &refuse(ResultCode::NotFound, "path: no such operator call"),
+        ),
+    }
+}
+
+fn store(desk: &Desk) -> ConfigStore {
+    ConfigStore::new(desk.store.clone(), desk.timer.clone())
+}
+
+async fn config(desk: &Desk) -> Reply {
+    match store(desk).read().await {
+        Ok(Some((record, _))) => json_reply(200, &document(&record)),
+        Ok(None) => json_reply(
+            200,
+            &json!({ "revision": 0, "document": "", "drained": [] }),
+        ),
+        Err(err) => failure(&err),
+    }
+}
+
+fn document(record: &ConfigRecord) -> Value {
+    json!({
+        "revision": record.revision,
+        "document": record.document,
+        "drained": record.drained,
+    })
+}
+
+async fn history(desk: &Desk) -> Reply {
+    match store(desk).read().await {
+        Ok(record) => {
+            let changes = record.map(|(record, _)| record.changes).unwrap_or_default();
+            json_reply(200, &json!(changes))
+        }
+        Err(err) => failure(&err),
+    }
+}
+
+async fn apply(desk: &Desk, req: Request<Incoming>) -> Reply {
+    let body: ApplyBody = match read_json(desk, req).await {
+        Ok(body) => body,
+        Err(reply) => return reply,
+    };
+    let edit = Edit::Document {
+        base: body.base,
+        document: body.document,
+    };
+    let proposal = Proposal {
+        edit,
+        who: body.who,
+        note: body.note,
+        change_id: body.change_id,
+    };
+    propose(desk, proposal).await
+}
+
+async fn drain(desk: &Desk, target: &str, drained: bool, req: Request<Incoming>) -> Reply {
+    let body: DrainBody = match read_json(desk, req).await {
+        Ok(body) => body,
+        Err(reply) => return reply,
+    };
+    let edit = Edit::Drain {
+        target: target.to_string(),
+        drained,
+    };
+    let proposal = Proposal {
+        edit,
+        who: body.who,
+        note: body.note,
+        change_id: body.change_id,
+    };
+    propose(desk, proposal).await
+}
+
+async fn propose(desk: &Desk, proposal: Proposal) -> Reply {
+    match store(desk).propose(&proposal).await {
+        Ok(revision) => {
+            info!(desk.log, "configuration accepted"; "revision" => revision,
+                "who" => &proposal.who, "change" => &proposal.change_id);
+            json_reply(200, &json!({ "revision": revision }))
+        }
+        Err(err) => failure(&err),
+    }
+}
+
+fn failure(err: &Error) -> Reply {
+    let (status, current) = match err {
+        Error::Invalid(_) => (400, None),
+        Error::Conflict(current) => (409, Some(*current)),
+        _ => (503, None),
+    };
+    json_reply(
+        status,
+        &json!({ "message": err.to_string(), "current": current }),
+    )
+}
+
+async fn read_json<T: serde::de::DeserializeOwned>(
+    desk: &Desk,
+    req: Request<Incoming>,
+) -> Result<T, Reply> {
+    let body = read_body(desk, req.into_body())
+        .await
+        .map_err(|answer| refused(None, &answer))?;
+    serde_json::from_slice(&body).map_err(|err| {
+        let text = format!("body: {err}");
+        refused(None, &refuse(ResultCode::BadRequest, &text))
+    })
+}
+
+fn services(desk: &Desk) -> Value {
+    let config = desk.view().config;
+    let row = |service: &crate::config::Service, kind: &crate::config::Kind| {
+        json!({
+            "service": service.name,
+            "kind": kind.name,
+            "repeatable": kind.repeatable,
+            "priority": kind.priority,
+            "deadline_ms": kind.deadline_ms,
+            "accelerators": kind.accelerators,
+        })
+    };
+    let kinds = config
+        .services
+        .iter()
+        .flat_map(|service| service.kinds.iter().map(move |kind| row(service, kind)));
+    Value::Array(kinds.collect())
+}
+
+async fn table(desk: &Desk, name: &str, query: Option<&str>) -> Reply {
+    let about = query.and_then(|query| query.strip_prefix("about="));
+    let about: Option<SubmissionId> = about.and_then(|id| id.parse().ok());
+    match name {
+        "services" => json_reply(200, &services(desk)),
+        "changes" => history(desk).await,
+        name if TABLES.contains(&name) => {
+            let rows = desk.rows(name, about).await;
+            json_reply(200, &merge(&rows))
+        }
+        _ => refused(
+            None,
+            &refuse(ResultCode::NotFound, &format!("table: no `{name}`")),
+        ),
+    }
+}
+
+fn merge(parts: &[Bytes]) -> Value {
+    let parts = parts
+        .iter()
+        .filter_map(|part| serde_json::from_slice::<Vec<Value>>(part).ok());
+    Value::Array(parts.flatten().collect())
+}
--- /dev/null
+++ b/src/local.rs
@@ -0,0 +1,548 @@
+//! A whole fleet in one process: stand-in store, targets, agents and entries.
+//!
+//! Every process of the fleet becomes a thread with a runtime of its own, and
+//! they talk over loopback as they would elsewhere. So a thread can be stopped
+//! in order, killed, or frozen, and the others see what they would see of a
+//! process.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, channel};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use http::Method;
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+
+use crate::agent::{Agent, AgentParts};
+use crate::client::EntryClient;
+use crate::config::Config;
+use crate::config_store::{ConfigStore, Edit, Proposal};
+use crate::entry::{Entry, EntryParts};
+use crate::error::{Error, Result};
+use crate::id::MemberId;
+use crate::link::{Distance, NoDistance};
+use crate::metrics::Metrics;
+use crate::settings::{AgentSettings, EntrySettings, LogLevel, Process};
+use crate::standin::store::{StandInStore, StoreRates};
+use crate::standin::target::{StandInTarget, StartLog};
+use crate::store::Store;
+use crate::store_client::StoreClient;
+use crate::supervisor::{Stop, Stopper};
+use crate::time::Timer;
+use crate::worker::HttpWorker;
+
+/// How often a fleet that starts is asked whether it is ready.
+const READY_POLL: Duration = Duration::from_millis(50);
+/// Workers of one rack.
+const WORKERS_PER_RACK: usize = 3;
+
+/// How a local fleet is laid out.
+#[derive(Clone, Debug)]
+pub struct LocalOptions {
+    /// Targets of each service.
+    pub targets: usize,
+    /// Slots of each target.
+    pub slots: u32,
+    /// Entries.
+    pub entries: usize,
+    /// One-way delay between failure domains.
+    pub domain_delay: Duration,
+    /// Where the first entry listens for callers; free ports otherwise.
+    pub http_listen: SocketAddr,
+    /// Rates of the store.
+    pub rates: StoreRates,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+impl Default for LocalOptions {
+    fn default() -> LocalOptions {
+        LocalOptions {
+            targets: 11,
+            slots: 8,
+            entries: 2,
+            domain_delay: Duration::ZERO,
+            http_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            rates: StoreRates::default(),
+            seed: 1,
+        }
+    }
+}
+
+/// A process of the fleet, as a thread.
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Where it can be reached: HTTP for entries, peers for agents.
+    pub addr: SocketAddr,
+    stopper: Stopper,
+    kill: Option<oneshot::Sender<()>>,
+    freeze: UnboundedSender<Duration>,
+    thread: Option<JoinHandle<Result<()>>>,
+}
+
+impl Host {
+    /// Runs `process` on a thread; it reports its address when it is ready.
+    fn start<F, M>(name: &str, process: M) -> Result<Host>
+    where
+        M: FnOnce(Stop, oneshot::Sender<SocketAddr>) -> F + Send + 'static,
+        F: Future<Output = Result<()>>,
+    {
+        let (stopper, stop) = Stopper::new();
+        let (kill, killed) = oneshot::channel();
+        let (freeze, freezes) = unbounded_channel();
+        let (ready, addr) = oneshot::channel();
+        let thread = std::thread::Builder::new().name(name.to_string());
+        let thread = thread.spawn(move || run_process(process(stop, ready), killed, freezes))?;
+        let addr = addr.blocking_recv();
+        Ok(Host {
+            name: name.to_string(),
+            addr: addr.map_err(|_| Error::Other(format!("{name} did not start")))?,
+            stopper,
+            kill: Some(kill),
+            freeze,
+            thread: Some(thread),
+        })
+    }
+
+    /// Asks it to stop in order.
+    pub fn stop(&self) {
+        self.stopper.stop();
+    }
+
+    /// Waits until it has ended.
+    pub fn join(&mut self) -> Result<()> {
+        match self.thread.take().map(JoinHandle::join) {
+            Some(Ok(result)) => result,
+            Some(Err(_)) => Err(Error::Other(format!("{} panicked", self.name))),
+            None => Ok(()),
+        }
+    }
+
+    /// Ends it at once, as a crash would.
+    pub fn kill(&mut self) {
+        if let Some(kill) = self.kill.take() {
+            let _ = kill.send(());
+        }
+        let _ = self.join();
+    }
+
+    /// Keeps it from doing anything for a while.
+    pub fn freeze(&self, span: Duration) {
+        let _ = self.freeze.send(span);
+    }
+
+    /// Whether it has ended.
+    pub fn ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+}
+
+fn run_process(
+    process: impl Future<Output = Result<()>>,
+    killed: oneshot::Receiver<()>,
+    mut freezes: UnboundedReceiver<Duration>,
+) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let result = runtime.block_on(async {
+        tokio::spawn(async move {
+            while let Some(span) = freezes.recv().await {
+                std::thread::sleep(span);
+            }
+        });
+        tokio::select! {
+            result = process => result,
+            _ = killed => Ok(()),
+        }
+    });
+    runtime.shutdown_background();
+    result
+}
+
+/// Delay between processes by their failure domains.
+struct DomainDistance {
+    own: String,
+    domains: Arc<HashMap<String, String>>,
+    between: Duration,
+}
+
+impl Distance for DomainDistance {
+    fn delay(&self, from: &MemberId) -> Duration {
+        match self.domains.get(&*from.name) {
+            Some(domain) if *domain != self.own => self.between,
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+/// An agent and its target.
+pub struct LocalAgent {
+    /// The agent; `None` while it is down.
+    pub host: Host,
+    /// Its target.
+    pub target: StandInTarget,
+    settings: AgentSettings,
+}
+
+/// A fleet in this process.
+pub struct Local {
+    /// The store.
+    pub store: StandInStore,
+    /// The agents with their targets.
+    pub agents: Vec<LocalAgent>,
+    /// The entries.
+    pub entries: Vec<Host>,
+    /// Starts at all targets.
+    pub starts: Arc<StartLog>,
+    /// The clock of the whole fleet.
+    pub timer: Timer,
+    store_addr: SocketAddr,
+    options: LocalOptions,
+    domains: Arc<HashMap<String, String>>,
+    log: Logger,
+    _platform: Platform,
+}
+
+/// The stand-ins' thread; they end with it.
+struct Platform {
+    _end: oneshot::Sender<()>,
+}
+
+impl Local {
+    /// Starts a fleet with the configuration in `document`.
+    pub fn start(document: &str, options: LocalOptions, log: Logger) -> Result<Local> {
+        let config = Config::from_yaml(document)?;
+        let timer = Timer::start();
+        let store = StandInStore::new(timer.clone(), options.rates);
+        let starts = Arc::new(StartLog::default());
+        let plans = plan(&config, &options);
+        let targets: Vec<StandInTarget> = plans
+            .iter()
+            .map(|plan| StandInTarget::new(&plan.name, timer.clone(), starts.clone()))
+            .collect();
+        let (platform, started) = start_platform(store.clone(), targets.clone(), document)?;
+        let Started {
+            store_addr,
+            target_addrs,
+        } = receive(&started)?;
+        let domains = domains(&config, &plans, &options);
+        let mut local = Local {
+            store,
+            agents: Vec::new(),
+            entries: Vec::new(),
+            starts,
+            timer,
+            store_addr,
+            options,
+            domains: Arc::new(domains),
+            log,
+            _platform: platform,
+        };
+        for ((plan, target), addr) in plans.iter().zip(targets).zip(target_addrs) {
+            local.add_agent(plan, target, addr)?;
+        }
+        local.add_entries()?;
+        Ok(local)
+    }
+
+    fn add_agent(
+        &mut self,
+        plan: &AgentPlan,
+        target: StandInTarget,
+        addr: SocketAddr,
+    ) -> Result<()> {
+        let mut process = self.process(&plan.name);
+        process.rack = plan.rack.clone();
+        let settings = AgentSettings {
+            process,
+            service: plan.service.clone(),
+            target: addr,
+            slots: self.options.slots,
+            connections: 64.max(self.options.slots),
+            accelerators: plan.accelerators,
+        };
+        let host = self.start_agent(&settings)?;
+        self.agents.push(LocalAgent {
+            host,
+            target,
+            settings,
+        });
+        Ok(())
+    }
+
+    /// Starts an agent again whose process has ended.
+    pub fn restart_agent(&mut self, index: usize) -> Result<()> {
+        let settings = self.agents[index].settings.clone();
+        self.agents[index].host = self.start_agent(&settings)?;
+        Ok(())
+    }
+
+    fn process(&self, name: &str) -> Process {
+        Process {
+            name: name.to_string(),
+            failure_domain: self.domains.get(name).cloned().unwrap_or_default(),
+            rack: String::new(),
+            peer_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            store: self.store_addr,
+            seeds: Vec::new(),
+            log: LogLevel::Warning,
+            metrics: None,
+            stop_ms: 30_000,
+        }
+    }
+
+    fn distance(&self, name: &str) -> Arc<dyn Distance> {
+        if self.options.domain_delay.is_zero() {
+            return Arc::new(NoDistance);
+        }
+        Arc::new(DomainDistance {
+            own: self.domains.get(name).cloned().unwrap_or_default(),
+            domains: self.domains.clone(),
+            between: self.options.domain_delay,
+        })
+    }
+
+    fn start_agent(&self, settings: &AgentSettings) -> Result<Host> {
+        let name = settings.process.name.clone();
+        let settings = settings.clone();
+        let (timer, log) = (self.timer.clone(), self.log.clone());
+        let distance = self.distance(&name);
+        let seed = self.options.seed;
+        Host::start(&name, move |stop, ready| async move {
+            let store: Arc<dyn Store> =
+                Arc::new(StoreClient::new(settings.process.store, timer.clone())?);
+            let worker = HttpWorker::new(settings.target, settings.connections, timer.clone());
+            let parts = AgentParts {
+                settings,
+                store,
+                worker: Arc::new(worker),
+                timer,
+                log,
+                metrics: Metrics::none(),
+                distance,
+                seed,
+            };
+            let agent = Agent::bind(parts).await?;
+            let _ = ready.send(agent.addr());
+            agent.run(stop).await
+        })
+    }
+
+    fn add_entries(&mut self) -> Result<()> {
+        for index in 0..self.options.entries {
+            let host = self.start_entry(index)?;
+            self.entries.push(host);
+        }
+        Ok(())
+    }
+
+    /// Starts an entry again whose process has ended.
+    pub fn restart_entry(&mut self, index: usize) -> Result<()> {
+        self.entries[index] = self.start_entry(index)?;
+        Ok(())
+    }
+
+    fn start_entry(&self, index: usize) -> Result<Host> {
+        let name = entry_name(index);
+        let http_listen = match (index, self.entries.get(index)) {
+            (_, Some(before)) => before.addr,
+            (0, None) => self.options.http_listen,
+            _ => SocketAddr::from(([127, 0, 0, 1], 0)),
+        };
+        let settings = EntrySettings {
+            process: self.process(&name),
+            http_listen,
+        };
+        let (timer, log) = (self.timer.clone(), self.log.clone());
+        let distance = self.distance(&name);
+        Host::start(&name, move |stop, ready| async move {
+            let store: Arc<dyn Store> =
+                Arc::new(StoreClient::new(settings.process.store, timer.clone())?);
+            let parts = EntryParts {
+                settings,
+                store,
+                timer,
+                log,
+                metrics: Metrics::none(),
+                distance,
+            };
+            let entry = Entry::bind(parts).await?;
+            let _ = ready.send(entry.http_addr());
+            entry.run(stop).await
+        })
+    }
+
+    /// Waits until every entry serves and every agent owns ranges.
+    pub async fn ready(&self) -> Result<()> {
+        for entry in &self.entries {
+            let client = EntryClient::new(entry.addr);
+            while !self.is_ready(&client).await {
+                self.timer.sleep(READY_POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self, client: &EntryClient) -> bool {
+        let ready = client.call(Method::GET, "/v1/ready", &[], "").await;
+        if !ready.is_ok_and(|reply| reply.status == 200) {
+            return false;
+        }
+        let path = "/v1/operator/tables/ranges";
+        let Ok(ranges) = client.call(Method::GET, path, &[], "").await else {
+            return false;
+        };
+        let ranges = ranges.json();
+        let active = |row: &&serde_json::Value| row["state"] == "active";
+        let rows = ranges.as_array().map_or(&[][..], Vec::as_slice);
+        let owners: HashSet<String> = rows
+            .iter()
+            .filter(active)
+            .map(|row| row["owner"].to_string())
+            .collect();
+        owners.len() == self.agents.len()
+    }
+
+    /// Stops everything in order.
+    pub fn stop(mut self) -> Result<()> {
+        self.entries.iter().for_each(Host::stop);
+        for entry in &mut self.entries {
+            entry.join()?;
+        }
+        for agent in &mut self.agents {
+            agent.host.kill();
+        }
+        Ok(())
+    }
+}
+
+struct AgentPlan {
+    name: String,
+    service: String,
+    rack: String,
+    domain: String,
+    accelerators: u32,
+}
+
+fn plan(config: &Config, options: &LocalOptions) -> Vec<AgentPlan> {
+    let domains = all_domains(config);
+    let mut plans = Vec::new();
+    for service in &config.services {
+        let needs = service.kinds.iter().map(|kind| kind.accelerators);
+        let accelerators = needs.max().unwrap_or(0);
+        for index in 0..options.targets {
+            let domain = &domains[index % domains.len()];
+            let rack = index / domains.len() / WORKERS_PER_RACK;
+            plans.push(AgentPlan {
+                name: format!("{}-{index:02}", service.name),
+                service: service.name.clone(),
+                rack: format!("{domain}-rack-{rack}"),
+                domain: domain.clone(),
+                accelerators,
+            });
+        }
+    }
+    plans
+}
+
+fn all_domains(config: &Config) -> Vec<String> {
+    let regions = config.regions.iter();
+    regions
+        .flat_map(|region| region.failure_domains.clone())
+        .collect()
+}
+
+fn domains(
+    config: &Config,
+    plans: &[AgentPlan],
+    options: &LocalOptions,
+) -> HashMap<String, String> {
+    let all = all_domains(config);
+    let agents = plans
+        .iter()
+        .map(|plan| (plan.name.clone(), plan.domain.clone()));
+    let entries = (0..options.entries).map(|i| (entry_name(i), all[i % all.len()].clone()));
+    agents.chain(entries).collect()
+}
+
+fn entry_name(index: usize) -> String {
+    format!("entry-{index}")
+}
+
+struct Started {
+    store_addr: SocketAddr,
+    target_addrs: Vec<SocketAddr>,
+}
+
+fn receive(started: &Receiver<Started>) -> Result<Started> {
+    started
+        .recv()
+        .map_err(|_| Error::Other("the stand-ins did not start".to_string()))
+}
+
+/// Runs the store and the targets on a thread of their own.
+fn start_platform(
+    store: StandInStore,
+    targets: Vec<StandInTarget>,
+    document: &str,
+) -> Result<(Platform, Receiver<Started>)> {
+    let (tx, rx) = channel();
+    let (end, ended) = oneshot::channel();
+    let document = document.to_string();
+    std::thread::Builder::new()
+        .name("stand-ins".to_string())
+        .spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()?;
+            let result: Result<()> = runtime.block_on(async {
+                let started = serve_platform(store, targets, &document).await?;
+                let _ = tx.send(started);
+                let _ = ended.await;
+                Ok(())
+            });
+            runtime.shutdown_background();
+            result
+        })?;
+    let platform = Platform { _end: end };
+    Ok((platform, rx))
+}
+
+async fn serve_platform(
+    store: StandInStore,
+    targets: Vec<StandInTarget>,
+    document: &str,
+) -> Result<Started> {
+    let timer = Timer::start();
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let store_addr = listener.local_addr()?;
+    tokio::spawn(store.serve(listener, std::future::pending()));
+    let mut target_addrs = Vec::new();
+    for target in targets {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        target_addrs.push(listener.local_addr()?);
+        tokio::spawn(target.serve(listener));
+    }
+    let client: Arc<dyn Store> = Arc::new(StoreClient::new(store_addr, timer.clone())?);
+    let proposal = Proposal {
+        edit: Edit::Document {
+            base: 0,
+            document: document.to_string(),
+        },
+        who: "local".to_string(),
+        note: "first configuration".to_string(),
+        change_id: "first".to_string(),
+    };
+    ConfigStore::new(client, timer).propose(&proposal).await?;
+    Ok(Started {
+        store_addr,
+        target_addrs,
+    })
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,260 @@
+//! What agents and entries have in common: links, an outbox, the view of the
+//! fleet, and the watch that keeps it fresh.
+//!
+//! Messages collect in the outbox while a batch of events is handled and leave
+//! as one frame for each peer. Who hears in a frame's header of a later
+//! revision than its own, and does not get it from its watch soon, asks the
+//! sender for it; so a process can join and follow while the store is down.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, debug, info, warn};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::fleet::{
+    CONFIG_KEY, ConfigRecord, Fleet, MEMBER_PREFIX, MemberRecord, News, PREFIX, Snapshot, TABLE_KEY,
+};
+use crate::id::MemberId;
+use crate::link::Links;
+use crate::load::LoadSample;
+use crate::message::{Frame, Header, Message, MessageClass};
+use crate::metrics::Metrics;
+use crate::ownership::parse_table;
+use crate::store::{Store, StoreEntry, StoreError, StoreReply, StoreRequest};
+use crate::time::{Moment, Timer, micros};
+
+/// Longest wait of a watch.
+const WATCH: Duration = Duration::from_secs(20);
+/// Wait before a watch that failed is made again.
+const WATCH_RETRY: Duration = Duration::from_millis(400);
+/// Time that the watch gets to bring what a header told of.
+const WATCH_LAG: Duration = Duration::from_millis(150);
+/// Least time between two requests for a snapshot.
+const SNAPSHOT_PACE: Duration = Duration::from_millis(500);
+
+/// Messages sent, by what they were for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MessageCounts {
+    /// Moved work forward.
+    pub work: u64,
+    /// Kept the fleet in order.
+    pub control: u64,
+    /// Moved nothing forward.
+    pub void: u64,
+    /// Frames that carried them.
+    pub frames: u64,
+}
+
+impl MessageCounts {
+    fn count(&mut self, message: &Message) {
+        match message.class() {
+            MessageClass::Work => self.work += 1,
+            MessageClass::Control => self.control += 1,
+            MessageClass::Void => self.void += 1,
+        }
+    }
+}
+
+/// The common part of a process.
+pub struct Node {
+    /// This process.
+    pub me: MemberId,
+    /// Clocks and timers.
+    pub timer: Timer,
+    /// Streams to peers.
+    pub links: Links,
+    /// What is known of the fleet.
+    pub fleet: Fleet,
+    /// Where events are logged.
+    pub log: Logger,
+    /// Where counts go.
+    pub metrics: Metrics,
+    /// Messages sent so far.
+    pub counts: MessageCounts,
+    outbox: HashMap<MemberId, Vec<Message>>,
+    behind_since_us: Option<u64>,
+    asked_us: u64,
+}
+
+impl Node {
+    /// The common part of the process `me`.
+    pub fn new(
+        me: MemberId,
+        timer: Timer,
+        links: Links,
+        fleet: Fleet,
+        log: Logger,
+        metrics: Metrics,
+    ) -> Node {
+        Node {
+            me,
+            timer,
+            links,
+            fleet,
+            log,
+            metrics,
+            counts: MessageCounts::default(),
+            outbox: HashMap::new(),
+            behind_since_us: None,
+            asked_us: 0,
+        }
+    }
+
+    /// Puts a message into the outbox.
+    pub fn send(&mut self, to: &MemberId, message: Message) {
+        match self.outbox.get_mut(to) {
+            Some(messages) => messages.push(message),
+            None => {
+                self.outbox.insert(to.clone(), vec![message]);
+            }
+        }
+    }
+
+    /// Takes the messages that this process sent to itself.
+    pub fn take_own(&mut self) -> Vec<Message> {
+        self.outbox.remove(&self.me).unwrap_or_default()
+    }
+
+    /// Whether messages wait in the outbox.
+    pub fn has_mail(&self) -> bool {
+        !self.outbox.is_empty()
+    }
+
+    /// Sends the outbox, one frame for each peer; `loads` gives the samples
+    /// for a peer. What cannot be sent is dropped.
+    pub fn flush(&mut self, mut loads: impl FnMut(&MemberId) -> Vec<LoadSample>) {
+        for (to, messages) in std::mem::take(&mut self.outbox) {
+            messages
+                .iter()
+                .for_each(|message| self.counts.count(message));
+            self.counts.frames += 1;
+            let header = Header {
+                config: self.fleet.config_revision(),
+                table: self.fleet.table().revision,
+                loads: loads(&to),
+            };
+            let frame = Frame {
+                from: self.me.clone(),
+                header,
+                messages,
+            };
+            if !self.links.send(&to, frame) {
+                debug!(self.log, "frame dropped"; "peer" => %to);
+            }
+        }
+    }
+
+    /// Asks for what a header shows to be newer, if the watch does not bring it.
+    pub fn take_header(&mut self, now: Moment, from: &MemberId, header: &Header) {
+        let behind = header.config > self.fleet.config_revision()
+            || header.table > self.fleet.table().revision;
+        if !behind {
+            self.behind_since_us = None;
+            return;
+        }
+        let since_us = *self.behind_since_us.get_or_insert(now.mono_us);
+        let lagging = now.mono_us >= since_us + micros(WATCH_LAG);
+        if lagging && now.mono_us >= self.asked_us + micros(SNAPSHOT_PACE) {
+            self.asked_us = now.mono_us;
+            self.send(from, Message::SnapshotRequest);
+        }
+    }
+
+    /// Asks a peer for what it knows, unless one was asked just now.
+    pub fn ask_snapshot(&mut self, now: Moment, from: &MemberId) {
+        if now.mono_us >= self.asked_us + micros(SNAPSHOT_PACE) {
+            self.asked_us = now.mono_us;
+            self.send(from, Message::SnapshotRequest);
+        }
+    }
+
+    /// Turns to the peers from the settings while nothing is known.
+    pub fn dial_seeds(&self, seeds: &[SocketAddr]) {
+        if self.fleet.config_revision() == 0 {
+            seeds.iter().for_each(|seed| self.links.dial_seed(*seed));
+        }
+    }
+
+    /// Takes a peer's snapshot.
+    pub fn take_snapshot(&mut self, snapshot: Snapshot) -> News {
+        let news = self.fleet.take_snapshot(snapshot);
+        self.note_news(news);
+        news
+    }
+
+    /// Takes what the store holds.
+    pub fn take_entries(&mut self, revision: u64, entries: &[StoreEntry]) -> News {
+        let mut news = News::default();
+        let members = entries
+            .iter()
+            .filter(|entry| entry.key.starts_with(MEMBER_PREFIX));
+        let members: Vec<MemberRecord> = members
+            .filter_map(|entry| serde_json::from_slice(&entry.value).ok())
+            .collect();
+        for entry in entries {
+            match entry.key.as_str() {
+                CONFIG_KEY => {
+                    let record = serde_json::from_slice::<ConfigRecord>(&entry.value);
+                    news.config = record.is_ok_and(|record| self.fleet.take_config(record));
+                }
+                TABLE_KEY => {
+                    let table = parse_table(entry);
+                    news.table = table.is_some_and(|table| self.fleet.take_table(table));
+                }
+                _ => {}
+            }
+        }
+        news.members = self.fleet.take_members(revision, members);
+        self.note_news(news);
+        news
+    }
+
+    fn note_news(&self, news: News) {
+        if news.config {
+            info!(self.log, "configuration in force"; "revision" => self.fleet.config_revision());
+        }
+        if news.table {
+            debug!(self.log, "table"; "revision" => self.fleet.table().revision);
+        }
+    }
+}
+
+/// What a watch brings.
+pub type WatchReply = Result<StoreReply, StoreError>;
+
+/// Watches everything of winghold in the store and tells `events`, until
+/// nobody listens any more.
+pub async fn watch_store<E: From<WatchReply>>(
+    store: Arc<dyn Store>,
+    timer: Timer,
+    log: Logger,
+    events: UnboundedSender<E>,
+) {
+    let mut after = 0;
+    let mut failed = false;
+    loop {
+        let request = StoreRequest::Watch {
+            prefix: PREFIX.to_string(),
+            after,
+            wait_ms: WATCH.as_millis() as u64,
+        };
+        let reply = store.call(request).await;
+        let lost = !matches!(reply, Ok(StoreReply::Entries { .. }));
+        if let Ok(StoreReply::Entries { revision, .. }) = &reply {
+            after = *revision;
+        }
+        if lost != failed {
+            failed = lost;
+            warn!(log, "store"; "answers" => !lost);
+        }
+        if events.send(E::from(reply)).is_err() {
+            return;
+        }
+        if lost {
+            timer.sleep(WATCH_RETRY).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/worker.rs
@@ -0,0 +1,221 @@
+//! The worker behind a gate: how its target runs, renews, slows and stops tasks.
+//!
+//! A task runs under a lease. The agent renews it while the task runs; a target
+//! that hears nothing for the length of a lease stops the task, so that nothing
+//! runs on for an agent that is gone. [`HttpWorker`] speaks the targets' HTTP.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
+
+use crate::gate::RunResult;
+use crate::id::TaskId;
+use crate::message::TaskOutcome;
+use crate::time::Timer;
+
+/// Header with the length of a task's lease in milliseconds.
+pub const LEASE_HEADER: &str = "winghold-lease-ms";
+/// Status with which a target answers a task that it stopped.
+pub const STOPPED: StatusCode = StatusCode::GONE;
+
+/// A task for a worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The task.
+    pub task: TaskId,
+    /// What the target gets.
+    pub payload: Bytes,
+    /// Lease that it runs under.
+    pub lease: Duration,
+    /// Time after which its answer helps nobody.
+    pub limit: Duration,
+}
+
+/// What a worker reports of itself, some time ago.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Tasks that ran.
+    pub running: u32,
+    /// Tasks that ran to their end.
+    pub finished: u64,
+    /// How old this report is, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A call that changes how a running task goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Control {
+    /// Prolong its lease.
+    Renew,
+    /// Save its state.
+    Checkpoint,
+    /// Slow it down.
+    Throttle,
+    /// Stop it.
+    Stop,
+}
+
+impl Control {
+    fn path(self) -> &'static str {
+        match self {
+            Control::Renew => "/lease",
+            Control::Checkpoint => "/checkpoint",
+            Control::Throttle => "/throttle",
+            Control::Stop => "/stop",
+        }
+    }
+}
+
+/// Future of a worker's answer.
+pub type WorkerFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// A worker that runs tasks.
+pub trait Worker: Send + Sync {
+    /// Runs a task to its end.
+    fn run(&self, run: Run) -> WorkerFuture<RunResult>;
+
+    /// Changes how a running task goes on.
+    fn control(&self, task: TaskId, control: Control) -> WorkerFuture<()>;
+
+    /// The latest report, if the worker answers.
+    fn usage(&self) -> WorkerFuture<Option<Usage>>;
+}
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// A target that takes tasks over HTTP.
+#[derive(Clone)]
+pub struct HttpWorker {
+    target: SocketAddr,
+    client: HttpClient,
+    connections: Arc<Semaphore>,
+    timer: Timer,
+}
+
+impl HttpWorker {
+    /// The target at `target`, which takes `connections` connections.
+    pub fn new(target: SocketAddr, connections: u32, timer: Timer) -> HttpWorker {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(connections as usize)
+            .build(connector);
+        HttpWorker {
+            target,
+            client,
+            connections: Arc::new(Semaphore::new(connections as usize)),
+            timer,
+        }
+    }
+
+    async fn run_to_end(&self, run: Run) -> RunResult {
+        let Ok(_permit) = self.connections.acquire().await else {
+            return RunResult::NotConnected;
+        };
+        let (task, lease, limit) = (run.task, run.lease, run.limit);
+        let call = self.post(run);
+        tokio::pin!(call);
+        let renewals = self.keep_lease(task, lease);
+        tokio::pin!(renewals);
+        tokio::select! {
+            result = &mut call => result,
+            () = &mut renewals => RunResult::Ended(TaskOutcome::Lost),
+            () = self.timer.sleep(limit) => {
+                self.call_control(task, Control::Stop).await;
+                RunResult::Ended(TaskOutcome::Lost)
+            }
+        }
+    }
+
+    async fn post(&self, run: Run) -> RunResult {
+        let path = task_path(run.task, "");
+        let lease_ms = run.lease.as_millis().to_string();
+        let builder = Request::builder().method(Method::POST);
+        let builder = builder.uri(format!("http://{}{path}", self.target));
+        let builder = builder.header(LEASE_HEADER, lease_ms);
+        let Ok(req) = builder.body(Full::new(run.payload)) else {
+            return RunResult::NotConnected;
+        };
+        let reply = match self.client.request(req).await {
+            Ok(reply) => reply,
+            Err(err) if err.is_connect() => return RunResult::NotConnected,
+            Err(_) => return RunResult::Ended(TaskOutcome::Lost),
+        };
+        let status = reply.status();
+        let Ok(body) = reply.into_body().collect().await else {
+            return RunResult::Ended(TaskOutcome::Lost);
+        };
+        RunResult::Ended(outcome(status, body.to_bytes()))
+    }
+
+    /// Renews a task's lease for as long as it is polled.
+    async fn keep_lease(&self, task: TaskId, lease: Duration) {
+        loop {
+            self.timer.sleep(lease / 2).await;
+            self.call_control(task, Control::Renew).await;
+        }
+    }
+
+    async fn call_control(&self, task: TaskId, control: Control) {
+        let path = task_path(task, control.path());
+        let builder = Request::builder().method(Method::POST);
+        let builder = builder.uri(format!("http://{}{path}", self.target));
+        if let Ok(req) = builder.body(Full::default()) {
+            let _ = self.client.request(req).await;
+        }
+    }
+
+    async fn get_usage(&self) -> Option<Usage> {
+        let uri = format!("http://{}/usage", self.target);
+        let req = Request::builder().uri(uri).body(Full::default()).ok()?;
+        let reply = self.client.request(req).await.ok()?;
+        let body = reply.into_body().collect().await.ok()?;
+        serde_json::from_slice(&body.to_bytes()).ok()
+    }
+}
+
+/// Path of a task at its target.
+pub fn task_path(task: TaskId, control: &str) -> String {
+    format!("/tasks/{}/{}{control}", task.submission, task.index)
+}
+
+fn outcome(status: StatusCode, body: Bytes) -> TaskOutcome {
+    if status.is_success() {
+        TaskOutcome::Done(body)
+    } else if status == STOPPED {
+        TaskOutcome::Stopped
+    } else {
+        TaskOutcome::Failed {
+            status: status.as_u16(),
+            body,
+        }
+    }
+}
+
+impl Worker for HttpWorker {
+    fn run(&self, run: Run) -> WorkerFuture<RunResult> {
+        let worker = self.clone();
+        Box::pin(async move { worker.run_to_end(run).await })
+    }
+
+    fn control(&self, task: TaskId, control: Control) -> WorkerFuture<()> {
+        let worker = self.clone();
+        Box::pin(async move { worker.call_control(task, control).await })
+    }
+
+    fn usage(&self) -> WorkerFuture<Option<Usage>> {
+        let worker = self.clone();
+        Box::pin(async move { worker.get_usage().await })
+    }
+}
--- /dev/null
+++ b/tools/codegen/src/main.rs
@@ -0,0 +1,49 @@
+//! Generates the gRPC stubs under `src/rpc/`.
+//!
+//! Run from the root of the repository:
+//! `cargo run --manifest-path tools/codegen/Cargo.toml`. The output is
+//! committed, so that a build of winghold needs no generator.
+
+use tonic_build::manual::{Builder, Method, Service};
+
+const CODEC: &str = "crate::rpc::codec::MsgPackCodec";
+const OUT_DIR: &str = "src/rpc";
+
+fn main() {
+    let builder = Builder::new().out_dir(OUT_DIR);
+    builder.compile(&[peer_service(), store_service()]);
+}
+
+/// The one bidirectional stream between two processes.
+fn peer_service() -> Service {
+    let exchange = Method::builder()
+        .name("exchange")
+        .route_name("Exchange")
+        .input_type("crate::message::Frame")
+        .output_type("crate::message::Frame")
+        .codec_path(CODEC)
+        .client_streaming()
+        .server_streaming()
+        .build();
+    Service::builder()
+        .name("Peer")
+        .package("winghold.v1")
+        .method(exchange)
+        .build()
+}
+
+/// The calls of the platform's key-value store that winghold uses.
+fn store_service() -> Service {
+    let call = Method::builder()
+        .name("call")
+        .route_name("Call")
+        .input_type("crate::store::StoreRequest")
+        .output_type("crate::store::StoreReply")
+        .codec_path(CODEC)
+        .build();
+    Service::builder()
+        .name("KeyValue")
+        .package("winghold.platform.v1")
+        .method(call)
+        .build()
+}
