--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -23,7 +23,7 @@
 use crate::link::{Distance, LinkEvent, Links, NoDistance};
 use crate::message::{Frame, Message};
 use crate::metrics::Metrics;
-use crate::node::{Node, WatchReply, watch_store};
+use crate::node::{Node, Tally, WatchReply, watch_store};
 use crate::owner::{Owner, OwnerAction};
 use crate::ownership::{Ownership, OwnershipAction, StoreOp};
 use crate::settings::AgentSettings;
@@ -171,6 +171,11 @@
         self.addr
     }
 
+    /// Counts of its messages.
+    pub fn tally(&self) -> Arc<Tally> {
+        self.core.node.tally.clone()
+    }
+
     /// Runs until `stop`, then leaves the fleet in order.
     pub async fn run(self, stop: Stop) -> Result<()> {
         let core = self.core;
--- a/src/agent/rows.rs
+++ b/src/agent/rows.rs
@@ -130,6 +130,7 @@
     }
 
     fn member_row(&self, now: Moment) -> Value {
+        let counts = self.node.tally.read();
         let leased_us = self.ownership.leased_until_us();
         json!({
             "name": self.node.me.name,
@@ -142,9 +143,9 @@
             "ranges": self.owner.held().len(),
             "lease_left_ms": now.left(leased_us).as_millis() as u64,
             "stopping": self.stopping.is_some(),
-            "work_messages": self.node.counts.work,
-            "control_messages": self.node.counts.control,
-            "void_messages": self.node.counts.void,
+            "work_messages": counts.work,
+            "control_messages": counts.control,
+            "void_messages": counts.void,
         })
     }
 
--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,136 @@
+//! `winghold bench`: load on a local fleet, faults, a checker and a report.
+//!
+//! Every policy that is compared runs in the same process one after the other,
+//! with the same seed and so the same submissions at the same times. Callers
+//! are an open loop: they do not wait for each other.
+
+pub mod caller;
+pub mod checker;
+pub mod fault;
+pub mod history;
+pub mod report;
+pub mod slopes;
+pub mod usage;
+pub mod workload;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config::{Config, Placement};
+use crate::error::{Error, Result};
+use crate::local::{Local, LocalOptions};
+use crate::logging;
+use crate::settings::LogLevel;
+use caller::Callers;
+use checker::check;
+use fault::{Fault, Faults};
+use history::History;
+use report::{Report, RunReport};
+use usage::Usage;
+use workload::Workload;
+
+/// What a bench runs.
+#[derive(Clone, Debug)]
+pub struct BenchOptions {
+    /// The configuration, with loads.
+    pub document: String,
+    /// Share of the slots that the load needs.
+    pub load: f64,
+    /// Length of the load.
+    pub length: Duration,
+    /// Policies to compare.
+    pub policies: Vec<Placement>,
+    /// Faults, all at once.
+    pub faults: Vec<Fault>,
+    /// Seed of the load.
+    pub seed: u64,
+    /// Targets.
+    pub targets: usize,
+    /// Level of the fleet's log.
+    pub log: LogLevel,
+}
+
+/// One-way delay between failure domains.
+const DOMAIN_DELAY: Duration = Duration::from_micros(500);
+/// One-way delay between callers and entries.
+pub const CALLER_DELAY: Duration = Duration::from_millis(3);
+
+/// Runs every policy and collects the reports.
+pub fn run(options: &BenchOptions) -> Result<Report> {
+    let runs: Result<Vec<RunReport>> = options
+        .policies
+        .iter()
+        .map(|policy| run_policy(options, *policy))
+        .collect();
+    Ok(Report {
+        load: options.load,
+        seconds: options.length.as_secs_f64(),
+        seed: options.seed,
+        targets: options.targets,
+        faults: options
+            .faults
+            .iter()
+            .map(|fault| fault.name().to_string())
+            .collect(),
+        runs: runs?,
+    })
+}
+
+fn run_policy(options: &BenchOptions, policy: Placement) -> Result<RunReport> {
+    let mut config = Config::from_yaml(&options.document)?;
+    config.policy.placement = policy;
+    let document =
+        serde_yaml_ng::to_string(&config).map_err(|err| Error::Other(err.to_string()))?;
+    let local = LocalOptions {
+        targets: options.targets,
+        entries: 3,
+        domain_delay: DOMAIN_DELAY,
+        seed: options.seed,
+        ..LocalOptions::default()
+    };
+    let slots = local.slots * options.targets as u32;
+    let workload = Workload::plan(&config, slots, options.load, options.length, options.seed)?;
+    let log = logging::logger("bench", options.log);
+    let fleet = Local::start(&document, local, log)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .thread_name("callers")
+        .enable_all()
+        .build()?;
+    runtime.block_on(measure(options, policy, &document, fleet, workload, slots))
+}
+
+async fn measure(
+    options: &BenchOptions,
+    policy: Placement,
+    document: &str,
+    mut fleet: Local,
+    workload: Workload,
+    slots: u32,
+) -> Result<RunReport> {
+    fleet.ready().await?;
+    let history = Arc::new(History::default());
+    let callers = Callers::new(&fleet, history.clone(), options.seed);
+    let before = fleet.messages();
+    let calls_before = fleet.store.calls();
+    let usage_before = Usage::read();
+    let started = fleet.timer.now();
+    let load = tokio::spawn(callers.clone().run(workload.clone()));
+    let mut faults = Faults::new(options.faults.clone(), options.length, document);
+    let ended = faults.run(&mut fleet, &callers, &history).await;
+    load.await.map_err(|err| Error::Other(err.to_string()))?;
+    ended?;
+    let seconds = fleet.timer.now().mono_us.saturating_sub(started.mono_us) as f64 / 1e6;
+    let messages = fleet.messages().since(before);
+    let calls = fleet.store.calls().since(calls_before);
+    let usage = Usage::read().since(&usage_before);
+    let starts = fleet.starts.all();
+    let submissions = history.submissions();
+    let verdict = check(&history, &starts, &Config::from_yaml(document)?);
+    let report = RunReport::new(policy, &submissions, slots, &verdict);
+    let report = report.with_costs(messages, calls, usage, seconds, &starts);
+    tokio::task::spawn_blocking(move || fleet.stop())
+        .await
+        .map_err(|err| Error::Other(err.to_string()))??;
+    Ok(report)
+}
--- /dev/null
+++ b/src/bench/report.rs
@@ -0,0 +1,317 @@
+//! What a run shows, as a table and as JSON.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::bench::CALLER_DELAY;
+use crate::bench::checker::Broken;
+use crate::bench::history::SubmissionRecord;
+use crate::bench::usage::Usage;
+use crate::config::Placement;
+use crate::node::MessageCounts;
+use crate::standin::store::StoreCalls;
+use crate::standin::target::StartRecord;
+
+/// Ratios are kept in thousandths.
+const SCALE: f64 = 1_000.0;
+/// Highest ratio that the histogram tells apart.
+const HIGHEST: u64 = 10_000_000;
+/// Broken promises that are written out.
+const BROKEN_SHOWN: usize = 12;
+
+/// Response time against the ideal.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Ratios {
+    /// Complete answers.
+    pub count: u64,
+    /// Median.
+    pub p50: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// 99.9th percentile.
+    pub p999: f64,
+    /// Largest.
+    pub max: f64,
+}
+
+/// Costs of a run.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Costs {
+    /// Messages between processes.
+    pub messages: MessageCounts,
+    /// Calls to the store.
+    pub store: StoreCalls,
+    /// Tasks that ran to their end.
+    pub finished_tasks: u64,
+    /// Control and void messages and store calls for each finished task.
+    pub wasted_per_task: f64,
+    /// Of these, void messages only.
+    pub void_per_task: f64,
+    /// All messages for each finished task.
+    pub messages_per_task: f64,
+    /// Calls to the store a second.
+    pub store_calls_per_second: f64,
+    /// Processor share of an entry, in percent of a core.
+    pub entry_cpu_percent: f64,
+    /// Processor share of an agent, in percent of a core.
+    pub agent_cpu_percent: f64,
+    /// Resident memory of the whole bench in megabytes.
+    pub memory_mb: f64,
+}
+
+/// One policy's run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RunReport {
+    /// How targets were chosen.
+    pub policy: Placement,
+    /// Submissions.
+    pub submissions: u64,
+    /// Final result codes, counted.
+    pub codes: BTreeMap<String, u64>,
+    /// Ratios of requests of 50 ms and more.
+    pub requests: Ratios,
+    /// Ratios of jobs.
+    pub jobs: Ratios,
+    /// Ratios by kind.
+    pub kinds: BTreeMap<String, Ratios>,
+    /// Number of broken promises.
+    pub broken: u64,
+    /// Some of them.
+    pub broken_examples: Vec<String>,
+    /// What it cost.
+    pub costs: Costs,
+}
+
+/// A whole bench.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// Share of the slots that the load needs.
+    pub load: f64,
+    /// Length of the load.
+    pub seconds: f64,
+    /// Seed of the load.
+    pub seed: u64,
+    /// Targets.
+    pub targets: usize,
+    /// Faults.
+    pub faults: Vec<String>,
+    /// One run for each policy.
+    pub runs: Vec<RunReport>,
+}
+
+struct Recorder {
+    histogram: Histogram<u64>,
+}
+
+impl Recorder {
+    fn new() -> Recorder {
+        let histogram = Histogram::new_with_bounds(1, HIGHEST, 3);
+        Recorder {
+            histogram: histogram.expect("the bounds are constants that fit"),
+        }
+    }
+
+    fn record(&mut self, ratio: f64) {
+        self.histogram.saturating_record((ratio * SCALE) as u64);
+    }
+
+    fn ratios(&self) -> Ratios {
+        let at = |quantile: f64| self.histogram.value_at_quantile(quantile) as f64 / SCALE;
+        if self.histogram.is_empty() {
+            return Ratios::default();
+        }
+        Ratios {
+            count: self.histogram.len(),
+            p50: at(0.5),
+            p99: at(0.99),
+            p999: at(0.999),
+            max: self.histogram.max() as f64 / SCALE,
+        }
+    }
+}
+
+/// Milliseconds that a submission needs on an idle fleet: its tasks perfectly
+/// packed on all slots, and the way to and from its caller.
+fn ideal_ms(record: &SubmissionRecord, slots: u32) -> f64 {
+    let run_ms = &record.planned.run_ms;
+    let longest = run_ms.iter().copied().fold(0.0, f64::max);
+    let packed = run_ms.iter().sum::<f64>() / f64::from(slots);
+    longest.max(packed) + 2.0 * CALLER_DELAY.as_secs_f64() * 1_000.0
+}
+
+fn ratio(record: &SubmissionRecord, slots: u32) -> f64 {
+    let took_ms = record.done_us.saturating_sub(record.sent_us) as f64 / 1_000.0;
+    took_ms / ideal_ms(record, slots)
+}
+
+impl RunReport {
+    /// What callers saw.
+    pub fn new(
+        policy: Placement,
+        submissions: &[SubmissionRecord],
+        slots: u32,
+        broken: &[Broken],
+    ) -> RunReport {
+        let mut codes: BTreeMap<String, u64> = BTreeMap::new();
+        let (mut requests, mut jobs) = (Recorder::new(), Recorder::new());
+        let mut kinds: BTreeMap<String, Recorder> = BTreeMap::new();
+        for record in submissions {
+            let code = match record.last_code() {
+                "" => "NO_ANSWER",
+                code => code,
+            };
+            *codes.entry(code.to_string()).or_default() += 1;
+            if !record.complete() {
+                continue;
+            }
+            let ratio = ratio(record, slots);
+            let kind = record.planned.kind.to_string();
+            kinds
+                .entry(kind)
+                .or_insert_with(Recorder::new)
+                .record(ratio);
+            match record.planned.is_job {
+                true => jobs.record(ratio),
+                false if record.planned.run_ms[0] >= 50.0 => requests.record(ratio),
+                false => {}
+            }
+        }
+        let example = |one: &Broken| format!("{:?}: {}", one.promise, one.text);
+        RunReport {
+            policy,
+            submissions: submissions.len() as u64,
+            codes,
+            requests: requests.ratios(),
+            jobs: jobs.ratios(),
+            kinds: kinds
+                .iter()
+                .map(|(kind, one)| (kind.clone(), one.ratios()))
+                .collect(),
+            broken: broken.len() as u64,
+            broken_examples: broken.iter().take(BROKEN_SHOWN).map(example).collect(),
+            costs: Costs::default(),
+        }
+    }
+
+    /// Adds what it cost.
+    pub fn with_costs(
+        mut self,
+        messages: MessageCounts,
+        store: StoreCalls,
+        usage: Usage,
+        seconds: f64,
+        starts: &[StartRecord],
+    ) -> RunReport {
+        let finished = starts.iter().filter(|start| start.finished).count() as u64;
+        let calls = store.writes + store.reads + store.watches;
+        let per_task = |count: u64| count as f64 / finished.max(1) as f64;
+        let percent = |prefix: &str, processes: f64| usage.of(prefix) / seconds / processes * 100.0;
+        let agents = usage
+            .cpu_seconds
+            .keys()
+            .filter(|name| is_agent(name))
+            .count();
+        let agent_seconds: f64 = usage
+            .cpu_seconds
+            .iter()
+            .filter(|(name, _)| is_agent(name))
+            .map(|(_, seconds)| seconds)
+            .sum();
+        self.costs = Costs {
+            messages,
+            store,
+            finished_tasks: finished,
+            wasted_per_task: per_task(messages.control + messages.void + calls),
+            void_per_task: per_task(messages.void),
+            messages_per_task: per_task(messages.work + messages.control + messages.void),
+            store_calls_per_second: calls as f64 / seconds,
+            entry_cpu_percent: percent("entry-", 3.0),
+            agent_cpu_percent: agent_seconds / seconds / agents.max(1) as f64 * 100.0,
+            memory_mb: usage.memory_mb,
+        };
+        self
+    }
+}
+
+/// Agents' threads end in their number; a thread's name is cut at 15 bytes.
+fn is_agent(name: &str) -> bool {
+    let other = [
+        "callers",
+        "entry-",
+        "stand-ins",
+        "timer",
+        "winghold",
+        "slog",
+        "tokio",
+    ];
+    !other.iter().any(|prefix| name.starts_with(prefix))
+}
+
+impl Report {
+    /// The report as text.
+    pub fn table(&self) -> String {
+        let faults = match self.faults.is_empty() {
+            true => "none".to_string(),
+            false => self.faults.join(", "),
+        };
+        let mut text = format!(
+            "load {:.2}, {:.0} s, {} targets, seed {}, faults: {faults}\n",
+            self.load, self.seconds, self.targets, self.seed
+        );
+        for run in &self.runs {
+            text.push_str(&run.table());
+        }
+        text
+    }
+}
+
+impl RunReport {
+    fn table(&self) -> String {
+        let mut text = format!(
+            "\npolicy {:?}: {} submissions",
+            self.policy, self.submissions
+        );
+        for (code, count) in &self.codes {
+            text.push_str(&format!(", {code} {count}"));
+        }
+        text.push_str("\n  response / ideal        count     p50     p99   p99.9     max\n");
+        let all = [("requests >= 50 ms", &self.requests), ("jobs", &self.jobs)];
+        let kinds = self
+            .kinds
+            .iter()
+            .map(|(kind, ratios)| (kind.as_str(), ratios));
+        for (name, ratios) in all.into_iter().chain(kinds) {
+            text.push_str(&format!(
+                "  {name:<20} {:>8} {:>7.3} {:>7.3} {:>7.3} {:>7.3}\n",
+                ratios.count, ratios.p50, ratios.p99, ratios.p999, ratios.max
+            ));
+        }
+        let costs = &self.costs;
+        text.push_str(&format!(
+            "  messages: work {}, control {}, void {}; {:.2} a task, wasted {:.3} a task\n",
+            costs.messages.work,
+            costs.messages.control,
+            costs.messages.void,
+            costs.messages_per_task,
+            costs.wasted_per_task
+        ));
+        text.push_str(&format!(
+            "  store: {:.1} calls/s, peak {} writes/s and {} reads/s, {} over the rate\n",
+            costs.store_calls_per_second,
+            costs.store.peak_writes,
+            costs.store.peak_reads,
+            costs.store.limited
+        ));
+        text.push_str(&format!(
+            "  cpu: entry {:.1}%, agent {:.1}% of a core; memory {:.0} MB in all\n",
+            costs.entry_cpu_percent, costs.agent_cpu_percent, costs.memory_mb
+        ));
+        text.push_str(&format!("  broken promises: {}\n", self.broken));
+        for example in &self.broken_examples {
+            text.push_str(&format!("    {example}\n"));
+        }
+        text
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,7 +26,7 @@
 use crate::load::LoadBook;
 use crate::message::{Answer, Ask, Message, Submission};
 use crate::metrics::Metrics;
-use crate::node::{Node, WatchReply, watch_store};
+use crate::node::{Node, Tally, WatchReply, watch_store};
 use crate::router::{Router, RouterAction};
 use crate::settings::EntrySettings;
 use crate::store::{Store, StoreReply};
@@ -259,6 +259,11 @@
         self.http_addr
     }
 
+    /// Counts of its messages.
+    pub fn tally(&self) -> Arc<Tally> {
+        self.core.node.tally.clone()
+    }
+
     /// Where peers reach it.
     pub fn peer_addr(&self) -> SocketAddr {
         self.peer_addr
@@ -543,7 +548,7 @@
         if table != "members" {
             return Vec::new();
         }
-        let counts = &self.node.counts;
+        let counts = self.node.tally.read();
         let row = serde_json::json!([{
             "name": self.node.me.name,
             "run": format!("{:08x}", self.node.me.run as u32),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod agent;
+pub mod bench;
 pub mod client;
 pub mod code;
 pub mod config;
--- a/src/local.rs
+++ b/src/local.rs
@@ -27,6 +27,7 @@
 use crate::id::MemberId;
 use crate::link::{Distance, NoDistance};
 use crate::metrics::Metrics;
+use crate::node::{MessageCounts, Tally};
 use crate::settings::{AgentSettings, EntrySettings, LogLevel, Process};
 use crate::standin::store::{StandInStore, StoreRates};
 use crate::standin::target::{StandInTarget, StartLog};
@@ -74,12 +75,20 @@
     }
 }
 
+/// What a process tells when it is ready.
+struct Ready {
+    addr: SocketAddr,
+    tally: Arc<Tally>,
+}
+
 /// A process of the fleet, as a thread.
 pub struct Host {
     /// Its name.
     pub name: String,
     /// Where it can be reached: HTTP for entries, peers for agents.
     pub addr: SocketAddr,
+    /// Counts of its messages.
+    pub tally: Arc<Tally>,
     stopper: Stopper,
     kill: Option<oneshot::Sender<()>>,
     freeze: UnboundedSender<Duration>,
@@ -90,7 +99,7 @@
     /// Runs `process` on a thread; it reports its address when it is ready.
     fn start<F, M>(name: &str, process: M) -> Result<Host>
     where
-        M: FnOnce(Stop, oneshot::Sender<SocketAddr>) -> F + Send + 'static,
+        M: FnOnce(Stop, oneshot::Sender<Ready>) -> F + Send + 'static,
         F: Future<Output = Result<()>>,
     {
         let (stopper, stop) = Stopper::new();
@@ -99,10 +108,12 @@
         let (ready, addr) = oneshot::channel();
         let thread = std::thread::Builder::new().name(name.to_string());
         let thread = thread.spawn(move || run_process(process(stop, ready), killed, freezes))?;
-        let addr = addr.blocking_recv();
+        let ready = addr.blocking_recv();
+        let ready = ready.map_err(|_| Error::Other(format!("{name} did not start")))?;
         Ok(Host {
             name: name.to_string(),
-            addr: addr.map_err(|_| Error::Other(format!("{name} did not start")))?,
+            addr: ready.addr,
+            tally: ready.tally,
             stopper,
             kill: Some(kill),
             freeze,
@@ -203,6 +214,7 @@
     pub starts: Arc<StartLog>,
     /// The clock of the whole fleet.
     pub timer: Timer,
+    ended: MessageCounts,
     store_addr: SocketAddr,
     options: LocalOptions,
     domains: Arc<HashMap<String, String>>,
@@ -239,6 +251,7 @@
             entries: Vec::new(),
             starts,
             timer,
+            ended: MessageCounts::default(),
             store_addr,
             options,
             domains: Arc::new(domains),
@@ -277,9 +290,17 @@
         Ok(())
     }
 
+    /// Messages of all processes, of those that ended too.
+    pub fn messages(&self) -> MessageCounts {
+        let agents = self.agents.iter().map(|agent| &agent.host);
+        let running = agents.chain(&self.entries).map(|host| host.tally.read());
+        running.fold(self.ended, MessageCounts::plus)
+    }
+
     /// Starts an agent again whose process has ended.
     pub fn restart_agent(&mut self, index: usize) -> Result<()> {
         let settings = self.agents[index].settings.clone();
+        self.ended = self.ended.plus(self.agents[index].host.tally.read());
         self.agents[index].host = self.start_agent(&settings)?;
         Ok(())
     }
@@ -330,7 +351,8 @@
                 seed,
             };
             let agent = Agent::bind(parts).await?;
-            let _ = ready.send(agent.addr());
+            let (addr, tally) = (agent.addr(), agent.tally());
+            let _ = ready.send(Ready { addr, tally });
             agent.run(stop).await
         })
     }
@@ -345,6 +367,7 @@
 
     /// Starts an entry again whose process has ended.
     pub fn restart_entry(&mut self, index: usize) -> Result<()> {
+        self.ended = self.ended.plus(self.entries[index].tally.read());
         self.entries[index] = self.start_entry(index)?;
         Ok(())
     }
@@ -374,7 +397,8 @@
                 distance,
             };
             let entry = Entry::bind(parts).await?;
-            let _ = ready.send(entry.http_addr());
+            let (addr, tally) = (entry.http_addr(), entry.tally());
+            let _ = ready.send(Ready { addr, tally });
             entry.run(stop).await
         })
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,8 +9,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, info, warn};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -35,8 +37,17 @@
 /// Least time between two requests for a snapshot.
 const SNAPSHOT_PACE: Duration = Duration::from_millis(500);
 
-/// Messages sent, by what they were for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Messages sent so far, by what they were for.
+#[derive(Debug, Default)]
+pub struct Tally {
+    work: AtomicU64,
+    control: AtomicU64,
+    void: AtomicU64,
+    frames: AtomicU64,
+}
+
+/// A reading of a [`Tally`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MessageCounts {
     /// Moved work forward.
     pub work: u64,
@@ -48,12 +59,45 @@
     pub frames: u64,
 }
 
+impl Tally {
+    fn count(&self, message: &Message) {
+        let counter = match message.class() {
+            MessageClass::Work => &self.work,
+            MessageClass::Control => &self.control,
+            MessageClass::Void => &self.void,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The counts now.
+    pub fn read(&self) -> MessageCounts {
+        MessageCounts {
+            work: self.work.load(Ordering::Relaxed),
+            control: self.control.load(Ordering::Relaxed),
+            void: self.void.load(Ordering::Relaxed),
+            frames: self.frames.load(Ordering::Relaxed),
+        }
+    }
+}
+
 impl MessageCounts {
-    fn count(&mut self, message: &Message) {
-        match message.class() {
-            MessageClass::Work => self.work += 1,
-            MessageClass::Control => self.control += 1,
-            MessageClass::Void => self.void += 1,
+    /// The sum of both.
+    pub fn plus(self, other: MessageCounts) -> MessageCounts {
+        MessageCounts {
+            work: self.work + other.work,
+            control: self.control + other.control,
+            void: self.void + other.void,
+            frames: self.frames + other.frames,
+        }
+    }
+
+    /// What came since `before`.
+    pub fn since(self, before: MessageCounts) -> MessageCounts {
+        MessageCounts {
+            work: self.work - before.work,
+            control: self.control - before.control,
+            void: self.void - before.void,
+            frames: self.frames - before.frames,
         }
     }
 }
@@ -73,7 +117,7 @@
     /// Where counts go.
     pub metrics: Metrics,
     /// Messages sent so far.
-    pub counts: MessageCounts,
+    pub tally: Arc<Tally>,
     outbox: HashMap<MemberId, Vec<Message>>,
     behind_since_us: Option<u64>,
     asked_us: u64,
@@ -96,7 +140,7 @@
             fleet,
             log,
             metrics,
-            counts: MessageCounts::default(),
+            tally: Arc::default(),
             outbox: HashMap::new(),
             behind_since_us: None,
             asked_us: 0,
@@ -129,8 +173,8 @@
         for (to, messages) in std::mem::take(&mut self.outbox) {
             messages
                 .iter()
-                .for_each(|message| self.counts.count(message));
-            self.counts.frames += 1;
+                .for_each(|message| self.tally.count(message));
+            self.tally.frames.fetch_add(1, Ordering::Relaxed);
             let header = Header {
                 config: self.fleet.config_revision(),
                 table: self.fleet.table().revision,
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -47,6 +47,19 @@
     pub peak_reads: u64,
 }
 
+impl StoreCalls {
+    /// What came since `before`; the peaks stay.
+    pub fn since(self, before: StoreCalls) -> StoreCalls {
+        StoreCalls {
+            writes: self.writes - before.writes,
+            reads: self.reads - before.reads,
+            watches: self.watches - before.watches,
+            limited: self.limited - before.limited,
+            ..self
+        }
+    }
+}
+
 /// What the platform promises.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreRates {
@@ -265,6 +278,11 @@
         self.shared.changed.send_modify(|count| *count += 1);
     }
 
+    /// How the store misbehaves now.
+    pub fn faults(&self) -> StoreFaults {
+        self.state().faults.clone()
+    }
+
     /// Calls since the start.
     pub fn calls(&self) -> StoreCalls {
         self.state().calls
