Add the operators' commands, the query language and a throughput bench

Cause: operators could not ask or change anything but by raw HTTP. Change: submit, cancel, drain, undrain, config, services, workers, query, standin and completions; a select/why/submit/cancel/drain language whose faults name their column; `bench throughput`; ejected targets get one trial in each period instead of one after the other; a dead stand-in target refuses connections.

--- /dev/null
+++ b/src/bench/capacity.rs
@@ -0,0 +1,5 @@
+//! Capacity.
+/// Page.
+pub fn page(_measured: &crate::bench::slopes::Slopes) -> String {
+    String::new()
+}
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -5,11 +5,13 @@
 //! are an open loop: they do not wait for each other.
 
 pub mod caller;
+pub mod capacity;
 pub mod checker;
 pub mod fault;
 pub mod history;
 pub mod report;
 pub mod slopes;
+pub mod throughput;
 pub mod usage;
 pub mod workload;
 
--- a/src/bin/winghold/main.rs
+++ b/src/bin/winghold/main.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod clap_app;
+mod printer;
 
 use std::process::ExitCode;
 
--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -191,6 +191,12 @@
         return Err(Error::Invalid(vec![text]));
     }
     next.document = document.to_string();
+    if before.document.is_empty() {
+        return Ok(format!(
+            "first document, {} lines",
+            document.lines().count()
+        ));
+    }
     Ok(difference(&before.document, document))
 }
 
--- a/src/local.rs
+++ b/src/local.rs
@@ -8,7 +8,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -76,9 +76,11 @@
 }
 
 /// What a process tells when it is ready.
-struct Ready {
-    addr: SocketAddr,
-    tally: Arc<Tally>,
+pub struct Ready {
+    /// Where it can be reached.
+    pub addr: SocketAddr,
+    /// Counts of its messages.
+    pub tally: Arc<Tally>,
 }
 
 /// A process of the fleet, as a thread.
@@ -97,18 +99,18 @@
 
 impl Host {
     /// Runs `process` on a thread; it reports its address when it is ready.
-    fn start<F, M>(name: &str, process: M) -> Result<Host>
+    pub fn start<F, M>(name: &str, process: M) -> Result<Host>
     where
-        M: FnOnce(Stop, oneshot::Sender<Ready>) -> F + Send + 'static,
+        M: FnOnce(Stop, Sender<Ready>) -> F + Send + 'static,
         F: Future<Output = Result<()>>,
     {
         let (stopper, stop) = Stopper::new();
         let (kill, killed) = oneshot::channel();
         let (freeze, freezes) = unbounded_channel();
-        let (ready, addr) = oneshot::channel();
+        let (ready, readied) = channel();
         let thread = std::thread::Builder::new().name(name.to_string());
         let thread = thread.spawn(move || run_process(process(stop, ready), killed, freezes))?;
-        let ready = addr.blocking_recv();
+        let ready = readied.recv();
         let ready = ready.map_err(|_| Error::Other(format!("{name} did not start")))?;
         Ok(Host {
             name: name.to_string(),
@@ -276,16 +278,10 @@
         target: StandInTarget,
         addr: SocketAddr,
     ) -> Result<()> {
-        let mut process = self.process(&plan.name);
-        process.rack = plan.rack.clone();
-        let settings = AgentSettings {
-            process,
-            service: plan.service.clone(),
-            target: addr,
-            slots: self.options.slots,
-            connections: 64.max(self.options.slots),
-            accelerators: plan.accelerators,
-        };
+        let mut settings = self.agent_settings(&plan.name, &plan.service);
+        settings.process.rack = plan.rack.clone();
+        settings.target = addr;
+        settings.accelerators = plan.accelerators;
         let host = self.start_agent(&settings)?;
         self.agents.push(LocalAgent {
             host,
@@ -414,22 +410,42 @@
         })
     }
 
+    /// Settings of one more agent.
+    pub fn agent_settings(&self, name: &str, service: &str) -> AgentSettings {
+        AgentSettings {
+            process: self.process(name),
+            service: service.to_string(),
+            target: SocketAddr::from(([127, 0, 0, 1], 0)),
+            slots: self.options.slots,
+            connections: 64.max(self.options.slots),
+            accelerators: 0,
+        }
+    }
+
+    /// Waits until every entry serves.
+    pub async fn entries_ready(&self) -> Result<()> {
+        for entry in &self.entries {
+            let client = EntryClient::new(entry.addr);
+            while !is_ready(&client).await {
+                self.timer.sleep(READY_POLL).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until every entry serves and every agent owns ranges.
     pub async fn ready(&self) -> Result<()> {
+        self.entries_ready().await?;
         for entry in &self.entries {
             let client = EntryClient::new(entry.addr);
-            while !self.is_ready(&client).await {
+            while !self.all_own(&client).await {
                 self.timer.sleep(READY_POLL).await;
             }
         }
         Ok(())
     }
 
-    async fn is_ready(&self, client: &EntryClient) -> bool {
-        let ready = client.call(Method::GET, "/v1/ready", &[], "").await;
-        if !ready.is_ok_and(|reply| reply.status == 200) {
-            return false;
-        }
+    async fn all_own(&self, client: &EntryClient) -> bool {
         let path = "/v1/operator/tables/ranges";
         let Ok(ranges) = client.call(Method::GET, path, &[], "").await else {
             return false;
@@ -458,6 +474,11 @@
     }
 }
 
+async fn is_ready(client: &EntryClient) -> bool {
+    let ready = client.call(Method::GET, "/v1/ready", &[], "").await;
+    ready.is_ok_and(|reply| reply.status == 200)
+}
+
 struct AgentPlan {
     name: String,
     service: String,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -183,8 +183,13 @@
         self.book.get(gate)
     }
 
-    /// A task was sent to `gate`.
+    /// A task was sent to `gate`; to an ejected one it is a trial, and the next
+    /// trial is a while off.
     pub fn sent(&mut self, now: Moment, gate: &MemberId) {
+        let next_trial_us = now.after(Duration::from_millis(self.policy().eject_ms));
+        if let Some(ejection) = self.ejected.get_mut(gate) {
+            ejection.until_us = ejection.until_us.max(next_trial_us);
+        }
         let sent = self.sent.entry(gate.clone()).or_default();
         sent.unseen_us.push_back(now.mono_us);
         sent.open += 1;
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -6,7 +6,6 @@
 //! `echo`.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -162,13 +161,29 @@
         self.state().most_running
     }
 
-    /// Serves on a listener for as long as it is polled.
+    /// Serves on a listener for as long as it is polled; while it is dead,
+    /// nothing listens.
     pub async fn serve(self, listener: TcpListener) -> Result<()> {
+        let addr = listener.local_addr()?;
+        let mut listener = Some(listener);
+        let mut died = self.shared.died.subscribe();
         loop {
-            let (stream, _) = listener.accept().await?;
-            if self.state().faults.dead {
-                continue;
+            let open = match listener.take() {
+                Some(open) => open,
+                None => TcpListener::bind(addr).await?,
+            };
+            tokio::select! {
+                served = self.accept(&open) => return served,
+                _ = died.wait_for(|dead| *dead) => {}
             }
+            drop(open);
+            let _ = died.wait_for(|dead| !*dead).await;
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener) -> Result<()> {
+        loop {
+            let (stream, _) = listener.accept().await?;
             let target = self.clone();
             tokio::spawn(async move { target.serve_connection(stream).await });
         }
@@ -341,8 +356,3 @@
     *reply.status_mut() = status;
     reply
 }
-
-/// Address that a listener got.
-pub fn address(listener: &TcpListener) -> Result<SocketAddr> {
-    Ok(listener.local_addr()?)
-}
