Test the decisions on a fake fleet in virtual time; split them from the agent's I/O

Cause: ownership, recovery and handover had only been run end to end. Change: Member holds gate, owner and ownership without I/O; tests drive four of them and an entry's router through a fake store and network: kills, pauses, skewed clocks, outages, lost answers, planned stops, late, doubled and lost messages.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,7 +5,6 @@
 //! they ask for, and sends what collected as one frame for each peer.
 
 mod rows;
-mod stop;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,25 +17,26 @@
 use crate::config::Config;
 use crate::error::Result;
 use crate::fleet::{Fleet, MemberRecord, News};
-use crate::gate::{Gate, GateAction, GateSettings, RunResult};
+use crate::gate::RunResult;
 use crate::id::{MemberId, TaskId};
 use crate::link::{Distance, LinkEvent, Links, NoDistance};
+use crate::member::{Member, MemberAction};
 use crate::message::{Frame, Message};
 use crate::metrics::Metrics;
 use crate::node::{Node, Tally, WatchReply, watch_store};
-use crate::owner::{Owner, OwnerAction};
-use crate::ownership::{Ownership, OwnershipAction, StoreOp};
+use crate::ownership::StoreOp;
 use crate::settings::AgentSettings;
-use crate::store::{Store, StoreError, StoreReply};
+use crate::store::{Store, StoreError, StoreReply, StoreRequest};
 use crate::supervisor::{Stop, Supervisor};
 use crate::time::{Moment, Timer};
 use crate::worker::{Control, Run, Worker};
-use stop::Stopping;
 
 /// How often the state machines are told that time has passed.
 const TICK: Duration = Duration::from_millis(20);
 /// Most events that are handled before frames leave.
 const BATCH: usize = 512;
+/// Time for the last frames to leave.
+const LAST_FRAMES: Duration = Duration::from_millis(100);
 /// Time after the deadline by which a worker must have answered.
 const RUN_GRACE: Duration = Duration::from_millis(1_000);
 
@@ -108,14 +108,11 @@
 
 struct Core {
     node: Node,
-    gate: Gate,
-    owner: Owner,
-    ownership: Ownership,
+    member: Member,
     settings: AgentSettings,
     store: Arc<dyn Store>,
     worker: Arc<dyn Worker>,
     tx: UnboundedSender<Event>,
-    stopping: Option<Stopping>,
     left: bool,
 }
 
@@ -128,16 +125,10 @@
         let me = MemberId::new(&settings.process.name, rand::random());
         let (link_tx, link_events) = unbounded_channel();
         let links = Links::new(me.clone(), parts.timer.clone(), parts.distance, link_tx);
-        let config = Config::empty();
-        let shared = Arc::new(config.clone());
-        let gate = GateSettings {
-            me: me.clone(),
-            service: settings.service.clone(),
-            slots: settings.slots,
-        };
-        let domain = &settings.process.failure_domain;
         let (tx, events) = unbounded_channel();
-        let fleet = Fleet::new(config.clone());
+        let fleet = Fleet::new(Config::empty());
+        let record = record(&me, addr, &settings);
+        let member = Member::new(record, &fleet, parts.seed);
         let core = Core {
             node: Node::new(
                 me.clone(),
@@ -147,14 +138,11 @@
                 parts.log,
                 parts.metrics,
             ),
-            gate: Gate::new(gate, &config),
-            owner: Owner::new(me.clone(), domain, shared, parts.seed),
-            ownership: Ownership::new(record(&me, addr, &settings)),
+            member,
             settings,
             store: parts.store,
             worker: parts.worker,
             tx,
-            stopping: None,
             left: false,
         };
         Ok(Agent {
@@ -255,28 +243,28 @@
             let now = self.node.timer.now();
             for event in batch.drain(..) {
                 self.handle(now, event);
+                self.apply(now);
             }
             self.flush(now);
         }
-        self.node.timer.sleep(stop::LAST_FRAMES).await;
+        self.node.timer.sleep(LAST_FRAMES).await;
         info!(self.node.log, "stopped");
         Ok(())
     }
 
     fn handle(&mut self, now: Moment, event: Event) {
+        let fleet = &self.node.fleet;
         match event {
             Event::Link(event) => self.on_link(now, event),
             Event::Watch(reply) => self.on_watch(now, reply),
-            Event::Store(op, reply) => {
-                let actions = self.ownership.on_store(now, &self.node.fleet, op, reply);
-                self.apply_ownership(now, actions);
+            Event::Store(op, reply) => self.member.on_store(now, fleet, op, reply),
+            Event::RunEnded(task, result) => self.member.run_ended(now, task, result),
+            Event::Tick => self.member.tick(now, fleet),
+            Event::Stop => {
+                info!(self.node.log, "stopping"; "running" => self.member.gate.running());
+                let limit = Duration::from_millis(self.settings.process.stop_ms);
+                self.member.begin_stop(now, fleet, limit);
             }
-            Event::RunEnded(task, result) => {
-                let actions = self.gate.ended(now, task, result);
-                self.apply_gate(actions);
-            }
-            Event::Tick => self.tick(now),
-            Event::Stop => self.begin_stop(now),
         }
     }
 
@@ -288,32 +276,31 @@
                 break;
             }
             let me = self.node.me.clone();
-            own.into_iter()
-                .for_each(|message| self.on_message(now, &me, message));
+            for message in own {
+                self.on_message(now, &me, message);
+                self.apply(now);
+            }
         }
         if !self.node.has_mail() {
             return;
         }
-        let sample = self.gate.sample();
-        self.owner.note_loads(now, &[sample]);
-        let owner = &mut self.owner;
-        self.node.flush(|peer| owner.samples(peer));
+        self.member.sample_own_load(now);
+        let member = &mut self.member;
+        self.node.flush(|peer| member.samples(peer));
     }
 
     fn on_link(&mut self, now: Moment, event: LinkEvent) {
         match event {
             LinkEvent::Frame(frame) => self.on_frame(now, *frame),
             LinkEvent::Up(member) => {
-                let actions = self.owner.link_up(now, &member);
-                self.apply_owner(actions);
+                self.member.link_up(now, &member);
                 if self.node.fleet.config_revision() == 0 {
                     self.node.ask_snapshot(now, &member);
                 }
             }
             LinkEvent::Down(member) => self.redial(&member),
             LinkEvent::Ended(member) => {
-                let actions = self.owner.gate_gone(now, &self.node.fleet, &member);
-                self.apply_owner(actions);
+                self.member.member_ended(now, &self.node.fleet, &member);
             }
         }
     }
@@ -326,42 +313,16 @@
 
     fn on_frame(&mut self, now: Moment, frame: Frame) {
         self.node.take_header(now, &frame.from, &frame.header);
-        let actions = self
-            .owner
+        self.member
             .observe(now, &self.node.fleet, &frame.header.loads);
-        self.apply_owner(actions);
         for message in frame.messages {
             self.on_message(now, &frame.from, message);
+            self.apply(now);
         }
     }
 
     fn on_message(&mut self, now: Moment, from: &MemberId, message: Message) {
         match message {
-            Message::Start(start) => {
-                let actions = self.gate.start(now, from, *start);
-                self.apply_gate(actions);
-            }
-            Message::Inquire {
-                task,
-                range,
-                epoch,
-                attempt,
-            } => {
-                let actions = self.gate.inquire(now, from, task, range, epoch, attempt);
-                self.apply_gate(actions);
-            }
-            Message::Stop { task } => {
-                let actions = self.gate.stop(task);
-                self.apply_gate(actions);
-            }
-            Message::Recover { range, epoch } => {
-                let actions = self.gate.recover(from, range, epoch);
-                self.apply_gate(actions);
-            }
-            Message::HandoverTaken { range, epoch } => {
-                self.ownership.handover_taken(from, range, epoch);
-                self.tick_ownership(now);
-            }
             Message::SnapshotRequest => {
                 let snapshot = Box::new(self.node.fleet.snapshot());
                 self.node.send(from, Message::Snapshot(snapshot));
@@ -370,13 +331,6 @@
                 let news = self.node.take_snapshot(*snapshot);
                 self.on_news(now, news);
             }
-            Message::Table(table) => {
-                let news = News {
-                    table: self.node.fleet.take_table(*table),
-                    ..News::default()
-                };
-                self.on_news(now, news);
-            }
             Message::RowsRequest {
                 request,
                 table,
@@ -385,123 +339,43 @@
                 let rows = self.rows(now, &table, about);
                 self.node.send(from, Message::Rows { request, rows });
             }
-            message => self.on_owner_message(now, from, message),
+            message => self.member.on_message(now, &self.node.fleet, from, message),
         }
     }
 
-    fn on_owner_message(&mut self, now: Moment, from: &MemberId, message: Message) {
-        let fleet = &self.node.fleet;
-        let owner = &mut self.owner;
-        let actions = match message {
-            Message::Submit(submission) => owner.submit(now, fleet, from, *submission),
-            Message::Cancel { id } => owner.cancel(now, from, id),
-            Message::Lookup { id } => owner.lookup(now, from, id),
-            Message::Refused { task, reason } => owner.refused(now, fleet, from, task, reason),
-            Message::Running { task } => {
-                owner.running(now, from, task);
-                Vec::new()
-            }
-            Message::Finished {
-                task,
-                outcome,
-                run_us,
-            } => owner.finished(now, fleet, from, task, outcome, run_us),
-            Message::Recovered {
-                range,
-                epoch,
-                tasks,
-            } => owner.recovered(now, from, range, epoch, tasks),
-            Message::Handover(handover) => owner.take_handover(from, *handover),
-            _ => Vec::new(),
-        };
-        self.apply_owner(actions);
-    }
-
     fn on_watch(&mut self, now: Moment, reply: WatchReply) {
         match reply {
             Ok(StoreReply::Entries { revision, entries }) => {
-                self.ownership.synced(now);
+                self.member.ownership.synced(now);
                 let news = self.node.take_entries(revision, &entries);
                 self.on_news(now, news);
             }
             _ => {
-                self.ownership.store_trouble(now);
+                self.member.ownership.store_trouble(now);
                 self.node.dial_seeds(&self.settings.process.seeds);
             }
         }
     }
 
-    /// Puts what is new in force.
     fn on_news(&mut self, now: Moment, news: News) {
-        if news.config {
-            self.owner.configure(self.node.fleet.config().clone());
-        }
-        if news.config || news.table {
-            self.configure_gate();
-        }
+        self.member.on_news(now, &self.node.fleet, news);
         if news.table || news.members {
-            self.reconcile(now);
             self.dial_members();
         }
-        self.tick_ownership(now);
-    }
-
-    fn configure_gate(&mut self) {
-        let fleet = &self.node.fleet;
-        let slots = fleet
-            .gates(&self.settings.service)
-            .map(|gate| gate.slots)
-            .sum();
-        self.gate.configure(fleet.config(), slots);
-        let rows = (0u32..).zip(&fleet.table().rows);
-        rows.for_each(|(index, row)| self.gate.raise_floor(crate::id::RangeId(index), row.epoch));
-    }
-
-    fn reconcile(&mut self, now: Moment) {
-        let holder = self.ownership.holder();
-        let actions = self.owner.reconcile(now, &self.node.fleet, holder.as_ref());
-        self.apply_owner(actions);
     }
 
     /// Keeps one stream to each member: the later name dials the earlier.
     fn dial_members(&mut self) {
-        let fleet = &self.node.fleet;
-        let earlier = fleet
-            .members()
-            .values()
-            .filter(|record| record.id < self.node.me);
-        earlier.for_each(|record| self.node.links.dial(&record.id, record.peer));
-        let gates = &fleet.table().gates;
-        let known = |id: &MemberId| fleet.members().contains_key(id) || gates.contains(id);
-        let dialed = self.node.links.dialed();
-        let gone: Vec<&MemberId> = dialed.iter().filter(|id| !known(id)).collect();
-        gone.iter().for_each(|id| self.node.links.forget(id));
-    }
-
-    fn tick(&mut self, now: Moment) {
-        let actions = self.gate.tick(now);
-        self.apply_gate(actions);
-        let actions = self.owner.tick(now, &self.node.fleet);
-        self.apply_owner(actions);
-        self.reconcile(now);
-        self.tick_ownership(now);
-        self.advance_stop(now);
+        let me = self.node.me.clone();
+        self.node.dial_members(|id| *id < me);
     }
 
-    /// Without a configuration from the store there is nothing to own.
-    fn tick_ownership(&mut self, now: Moment) {
-        if self.node.fleet.config_revision() == 0 && self.stopping.is_none() {
-            return;
-        }
-        let actions = self.ownership.tick(now, &self.node.fleet);
-        self.apply_ownership(now, actions);
-    }
-
-    fn apply_gate(&mut self, actions: Vec<GateAction>) {
-        for action in actions {
+    /// Carries out what the member asks for.
+    fn apply(&mut self, now: Moment) {
+        for action in self.member.take_actions() {
             match action {
-                GateAction::Send { to, message } => self.node.send(&to, message),
-                GateAction::Run {
+                MemberAction::Send { to, message } => self.node.send(&to, message),
+                MemberAction::Run {
                     task,
                     payload,
                     budget_ms,
@@ -509,9 +383,25 @@
                     let limit = Duration::from_millis(budget_ms) + RUN_GRACE;
                     self.run_task(task, payload, limit);
                 }
-                GateAction::StopRun { task } => {
+                MemberAction::StopRun { task } => {
                     tokio::spawn(self.worker.control(task, Control::Stop));
                 }
+                MemberAction::Store { op, request } => self.call_store(op, request),
+                MemberAction::Table(table) => {
+                    let news = News {
+                        table: self.node.fleet.take_table(table),
+                        ..News::default()
+                    };
+                    self.on_news(now, news);
+                    self.apply(now);
+                }
+                MemberAction::Range { range, event } => {
+                    info!(self.node.log, "range"; "range" => range.0, "event" => event);
+                }
+                MemberAction::Left { by_limit } => {
+                    info!(self.node.log, "left"; "by_limit" => by_limit);
+                    self.left = true;
+                }
             }
         }
     }
@@ -532,39 +422,7 @@
         });
     }
 
-    fn apply_owner(&mut self, actions: Vec<OwnerAction>) {
-        for action in actions {
-            match action {
-                OwnerAction::Send { to, message } => self.node.send(&to, message),
-                OwnerAction::Range { range, event } => {
-                    info!(self.node.log, "range"; "range" => range.0, "event" => event);
-                }
-            }
-        }
-    }
-
-    fn apply_ownership(&mut self, now: Moment, actions: Vec<OwnershipAction>) {
-        for action in actions {
-            match action {
-                OwnershipAction::Store { op, request } => self.call_store(op, request),
-                OwnershipAction::Freeze { range, to } => {
-                    let actions = self.owner.freeze(now, range, &to);
-                    self.apply_owner(actions);
-                }
-                OwnershipAction::Table(table) => {
-                    let news = News {
-                        table: self.node.fleet.take_table(table),
-                        ..News::default()
-                    };
-                    self.on_news(now, news);
-                }
-                OwnershipAction::LeasedUntil(until_us) => self.owner.leased_until(until_us),
-                OwnershipAction::Left => self.left = true,
-            }
-        }
-    }
-
-    fn call_store(&self, op: StoreOp, request: crate::store::StoreRequest) {
+    fn call_store(&self, op: StoreOp, request: StoreRequest) {
         let store = self.store.clone();
         let tx = self.tx.clone();
         tokio::spawn(async move {
--- a/src/agent/rows.rs
+++ b/src/agent/rows.rs
@@ -29,7 +29,7 @@
     }
 
     fn entries(&self, about: Option<SubmissionId>) -> impl Iterator<Item = &Entry> {
-        let entries = self.owner.entries().values();
+        let entries = self.member.owner.entries().values();
         let wanted = entries.filter(move |entry| about.is_none_or(|id| entry.submission.id == id));
         wanted.take(MOST_ROWS)
     }
@@ -101,7 +101,7 @@
     }
 
     fn target_row(&self) -> Value {
-        let placer = self.owner.placer();
+        let placer = self.member.owner.placer();
         let ejected: Vec<_> = placer.ejected().map(|gate| gate.name.clone()).collect();
         let sample = placer.known(&self.node.me).map(|known| &known.sample);
         json!({
@@ -109,7 +109,7 @@
             "service": self.settings.service,
             "failure_domain": self.settings.process.failure_domain,
             "slots": self.settings.slots,
-            "running": self.gate.running(),
+            "running": self.member.gate.running(),
             "queued": sample.map_or(0, |sample| sample.queued),
             "mean_run_ms": sample.map_or(0, |sample| sample.mean_run_us / 1_000),
             "failed_percent": sample.map_or(0, |sample| sample.failed_percent),
@@ -125,13 +125,13 @@
             "rack": self.settings.process.rack,
             "failure_domain": self.settings.process.failure_domain,
             "accelerators": self.settings.accelerators,
-            "running": self.gate.running(),
+            "running": self.member.gate.running(),
         })
     }
 
     fn member_row(&self, now: Moment) -> Value {
         let counts = self.node.tally.read();
-        let leased_us = self.ownership.leased_until_us();
+        let leased_us = self.member.ownership.leased_until_us();
         json!({
             "name": self.node.me.name,
             "run": format!("{:08x}", self.node.me.run as u32),
@@ -140,9 +140,9 @@
             "failure_domain": self.settings.process.failure_domain,
             "config": self.node.fleet.config_revision(),
             "table": self.node.fleet.table().revision,
-            "ranges": self.owner.held().len(),
+            "ranges": self.member.owner.held().len(),
             "lease_left_ms": now.left(leased_us).as_millis() as u64,
-            "stopping": self.stopping.is_some(),
+            "stopping": self.member.is_stopping(),
             "work_messages": counts.work,
             "control_messages": counts.control,
             "void_messages": counts.void,
@@ -150,7 +150,7 @@
     }
 
     fn range_rows(&self) -> Vec<Value> {
-        let mut held: Vec<_> = self.owner.held().iter().collect();
+        let mut held: Vec<_> = self.member.owner.held().iter().collect();
         held.sort_by_key(|(range, _)| **range);
         let row = |(range, held): &(&crate::id::RangeId, &crate::owner::ranges::Held)| {
             json!({
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -462,13 +462,6 @@
                 let news = self.node.take_snapshot(*snapshot);
                 self.on_news(now, news);
             }
-            Message::Table(table) => {
-                let news = News {
-                    table: self.node.fleet.take_table(*table),
-                    ..News::default()
-                };
-                self.on_news(now, news);
-            }
             Message::Rows { request, rows } => self.on_rows(request, rows),
             _ => {}
         }
@@ -493,7 +486,7 @@
             self.publish();
         }
         if news.table || news.members {
-            self.dial_gates();
+            self.node.dial_members(|_| true);
             let actions = self.router.table_changed(now, &self.node.fleet);
             self.apply(actions);
         }
@@ -509,19 +502,6 @@
         });
     }
 
-    fn dial_gates(&self) {
-        let fleet = &self.node.fleet;
-        let members = fleet.members();
-        members
-            .values()
-            .for_each(|record| self.node.links.dial(&record.id, record.peer));
-        let gates = &fleet.table().gates;
-        let known = |id: &MemberId| members.contains_key(id) || gates.contains(id);
-        let dialed = self.node.links.dialed();
-        let gone: Vec<&MemberId> = dialed.iter().filter(|id| !known(id)).collect();
-        gone.iter().for_each(|id| self.node.links.forget(id));
-    }
-
     fn on_rows_question(&mut self, now: Moment, question: RowsQuestion) {
         self.numbers += 1;
         let request = self.numbers;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod load;
 pub mod local;
 pub mod logging;
+pub mod member;
 pub mod message;
 pub mod metrics;
 pub mod node;
--- a/src/message.rs
+++ b/src/message.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::code::{Effect, ResultCode};
-use crate::fleet::{Snapshot, Table};
+use crate::fleet::Snapshot;
 use crate::id::{Epoch, MemberId, RangeId, SubmissionId, TaskId};
 use crate::load::LoadSample;
 
@@ -139,8 +139,6 @@
     SnapshotRequest,
     /// What the sender knows of the fleet.
     Snapshot(Box<Snapshot>),
-    /// Only the table of key ranges.
-    Table(Box<Table>),
     /// Entry to any process: rows of an operator's table.
     RowsRequest {
         /// Names the request.
--- a/src/node.rs
+++ b/src/node.rs
@@ -228,6 +228,21 @@
         }
     }
 
+    /// Keeps a stream to each member that `wanted` names, and none to those
+    /// that are gone.
+    pub fn dial_members(&self, wanted: impl Fn(&MemberId) -> bool) {
+        let members = self.fleet.members();
+        for record in members.values().filter(|record| wanted(&record.id)) {
+            self.links.dial(&record.id, record.peer);
+        }
+        let gates = &self.fleet.table().gates;
+        let known = |id: &MemberId| members.contains_key(id) || gates.contains(id);
+        let dialed = self.links.dialed();
+        for gone in dialed.iter().filter(|id| !known(id)) {
+            self.links.forget(gone);
+        }
+    }
+
     /// Takes a peer's snapshot.
     pub fn take_snapshot(&mut self, snapshot: Snapshot) -> News {
         let news = self.fleet.take_snapshot(snapshot);
