Do not call a recovered submission not run when it is cancelled

Cause: found by the property test: a new owner that knew tasks of a submission only from recovery judged a cancel by the tasks it had opened itself, none, and answered "not run" for a job of which all five tasks had run. Ruled out: the handover's table; it carried the submission. Change: an entry says itself what is known of its execution, recovered tasks included, and names the gates that may still have one, which are told to stop. Also: the slopes of memory and the page of capacity worked out from them. Conclusion: the guard holds for this case.

--- a/src/bench/capacity.rs
+++ b/src/bench/capacity.rs
@@ -1,5 +1,405 @@
-//! Capacity.
-/// Page.
-pub fn page(_measured: &crate::bench::slopes::Slopes) -> String {
-    String::new()
+//! The tables of docs/CAPACITY.md, worked out from measured slopes and the
+//! sizes that the users gave.
+
+use crate::bench::slopes::{Series, Slopes, job_bytes};
+
+const WORKERS: f64 = 1_400.0;
+const OWNERS: f64 = 128.0;
+const RANGES: f64 = 512.0;
+const ENTRIES: f64 = 16.0;
+const STARTS_PER_SECOND: f64 = 120_000.0;
+const TASKS_PER_JOB: f64 = 120.0;
+const TEAMS: f64 = 220.0;
+const CANDIDATES: f64 = 64.0;
+const RETENTION_S: f64 = 300.0;
+const LEASE_S: f64 = 3.0;
+const WATCH_S: f64 = 20.0;
+const MEMBER_CHANGES_PER_DAY: f64 = 2.0 * (340.0 + 10.0);
+const CONFIG_CHANGES_PER_DAY: f64 = 1_300.0;
+const CHANGES_KEPT: f64 = 1_000.0;
+const DAY_S: f64 = 86_400.0;
+const TICKS_PER_SECOND: f64 = 50.0;
+/// Mean run time that the requests under way are reckoned with, in seconds.
+const MEAN_RUN_S: f64 = 0.25;
+
+const CPU_LIMIT_PERCENT: f64 = 1.6;
+const MEMORY_LIMIT_MB: f64 = 128.0;
+const BYTES_LIMIT: f64 = 12_000.0;
+const STORE_WRITES: f64 = 300.0;
+const STORE_READS: f64 = 2_000.0;
+const VALUE_BYTES: f64 = 1_048_576.0;
+
+struct Row {
+    what: &'static str,
+    value: f64,
+    unit: &'static str,
+    limit: Option<f64>,
+    mechanism: &'static str,
+    slope: &'static str,
+}
+
+impl Row {
+    fn new(
+        what: &'static str,
+        value: f64,
+        unit: &'static str,
+        limit: Option<f64>,
+        mechanism: &'static str,
+        slope: &'static str,
+    ) -> Row {
+        Row {
+            what,
+            value,
+            unit,
+            limit,
+            mechanism,
+            slope,
+        }
+    }
+
+    fn line(&self) -> String {
+        let limit = match self.limit {
+            None => "none given".to_string(),
+            Some(limit) if self.value <= limit => format!("{} kept", number(limit)),
+            Some(limit) => format!("**{} broken**", number(limit)),
+        };
+        format!(
+            "| {} | {} {} | {limit} | {} | {} |\n",
+            self.what,
+            number(self.value),
+            self.unit,
+            self.mechanism,
+            self.slope
+        )
+    }
+}
+
+fn number(value: f64) -> String {
+    match value {
+        value if value >= 100.0 => format!("{value:.0}"),
+        value if value >= 1.0 => format!("{value:.1}"),
+        value => format!("{value:.3}"),
+    }
+}
+
+/// All tables, as Markdown.
+pub fn page(slopes: &Slopes) -> String {
+    let mut text = table("Entry (one of 16)", &entry(slopes));
+    text.push_str(&table("Agent as gate of its target", &gate(slopes)));
+    text.push_str(&table(
+        "Agent as owner of key ranges (one of 128)",
+        &owner(slopes),
+    ));
+    text.push_str(&table("Any daemon, for control", &control(slopes)));
+    text.push_str(&table("The platform's store, as we use it", &store(slopes)));
+    text.push_str(&fits(slopes));
+    text
+}
+
+fn table(title: &str, rows: &[Row]) -> String {
+    let head = "| what | at the full size | limit | mechanism | slope |\n|---|---|---|---|---|\n";
+    let lines: String = rows.iter().map(Row::line).collect();
+    format!("### {title}\n\n{head}{lines}\n")
+}
+
+fn entry(slopes: &Slopes) -> Vec<Row> {
+    let jobs = STARTS_PER_SECOND / TASKS_PER_JOB / ENTRIES;
+    let requests = STARTS_PER_SECOND / ENTRIES;
+    let series = slopes.get("entry_job_us");
+    let links = WORKERS * slopes.get("link_memory").slope / 2.0;
+    vec![
+        Row::new(
+            "processor, all work in jobs of 120",
+            jobs * series.at(TASKS_PER_JOB) / 1e4,
+            "% of a core",
+            None,
+            "router, HTTP",
+            "entry_job_us",
+        ),
+        Row::new(
+            "processor, all work in single requests",
+            requests * series.at(1.0) / 1e4,
+            "% of a core",
+            Some(100.0),
+            "router, HTTP",
+            "entry_job_us",
+        ),
+        Row::new(
+            "bytes to and from owners, jobs of 120",
+            jobs * job_bytes(TASKS_PER_JOB as usize) / 1e6,
+            "MB/s",
+            None,
+            "frames",
+            "measured frame",
+        ),
+        Row::new(
+            "messages, jobs of 120",
+            2.0 * jobs,
+            "a second",
+            None,
+            "Submit, Answer",
+            "counted",
+        ),
+        Row::new(
+            "memory of links to all agents",
+            links / VALUE_BYTES,
+            "MB",
+            Some(MEMORY_LIMIT_MB),
+            "one stream an agent",
+            "link_memory",
+        ),
+    ]
+}
+
+fn gate(slopes: &Slopes) -> Vec<Row> {
+    let starts = STARTS_PER_SECOND / WORKERS;
+    let agent = slopes.get("agent_job_us");
+    let bytes = slopes.get("start_bytes").slope + slopes.get("finish_bytes").slope;
+    let kept = starts * RETENTION_S;
+    vec![
+        Row::new(
+            "starts",
+            starts,
+            "a second",
+            None,
+            "Start, Finished",
+            "given",
+        ),
+        Row::new(
+            "processor for tasks (owner's part included)",
+            starts * agent.slope / 1e4,
+            "% of a core",
+            None,
+            "gate",
+            "agent_job_us",
+        ),
+        Row::new(
+            "bytes for tasks",
+            starts * bytes / 1e3,
+            "kB/s",
+            None,
+            "frames",
+            "start_bytes",
+        ),
+        Row::new(
+            "memory of remembered tasks",
+            kept * slopes.get("record_memory").slope / VALUE_BYTES,
+            "MB",
+            Some(MEMORY_LIMIT_MB),
+            "records for 300 s",
+            "record_memory",
+        ),
+    ]
+}
+
+fn owner(slopes: &Slopes) -> Vec<Row> {
+    let tasks = STARTS_PER_SECOND / OWNERS;
+    let agent = slopes.get("agent_job_us");
+    let choose = slopes.get("choose_us");
+    let kept = slopes.get("submission_memory").slope;
+    let open = tasks * MEAN_RUN_S;
+    vec![
+        Row::new("tasks placed", tasks, "a second", None, "dispatch", "given"),
+        Row::new(
+            "processor to choose among 64 gates",
+            tasks * choose.at(CANDIDATES) / 1e4,
+            "% of a core",
+            None,
+            "a subset of 64 gates (to be built)",
+            "choose_us",
+        ),
+        Row::new(
+            "processor to choose among all gates",
+            tasks * choose.at(WORKERS) / 1e4,
+            "% of a core",
+            Some(100.0),
+            "placement as it runs today",
+            "choose_us",
+        ),
+        Row::new(
+            "processor for the rest of a task's way",
+            tasks * agent.slope / 1e4,
+            "% of a core",
+            None,
+            "owner, frames",
+            "agent_job_us",
+        ),
+        Row::new(
+            "processor of ticks, requests only",
+            TICKS_PER_SECOND * slopes.get("open_tick_us").at(open) / 1e4,
+            "% of a core",
+            None,
+            "inquiries, deadlines",
+            "open_tick_us",
+        ),
+        Row::new(
+            "memory of kept answers, requests only",
+            tasks * RETENTION_S * kept / VALUE_BYTES,
+            "MB",
+            Some(MEMORY_LIMIT_MB),
+            "table kept for 300 s",
+            "submission_memory",
+        ),
+        Row::new(
+            "memory of kept answers, requests only, 60 s",
+            tasks * 60.0 * kept / VALUE_BYTES,
+            "MB",
+            Some(MEMORY_LIMIT_MB),
+            "`retention_ms: 60000`",
+            "submission_memory",
+        ),
+    ]
+}
+
+/// Bytes of everything that a watch brings today.
+fn watched_bytes(slopes: &Slopes) -> f64 {
+    let members = slopes.get("member_bytes").at(WORKERS);
+    let table = slopes.get("table_bytes").at(RANGES) + WORKERS * 40.0;
+    members + table + config_bytes(slopes)
+}
+
+fn config_bytes(slopes: &Slopes) -> f64 {
+    slopes.get("config_bytes").at(TEAMS) + slopes.get("change_bytes").at(CHANGES_KEPT)
+}
+
+fn control(slopes: &Slopes) -> Vec<Row> {
+    let changes = (2.0 * MEMBER_CHANGES_PER_DAY + CONFIG_CHANGES_PER_DAY) / DAY_S;
+    let news_us = slopes.get("member_news_us").at(WORKERS)
+        + slopes.get("plan_us").at(RANGES)
+        + slopes.get("config_us").at(TEAMS);
+    let deltas = changes
+        * slopes
+            .get("member_bytes")
+            .slope
+            .max(slopes.get("change_bytes").slope);
+    let whole = CONFIG_CHANGES_PER_DAY / DAY_S * slopes.get("config_bytes").at(TEAMS);
+    let links = WORKERS * slopes.get("link_memory").slope / 2.0;
+    let owner_links = OWNERS * slopes.get("link_memory").slope / 2.0;
+    vec![
+        Row::new(
+            "processor for news",
+            changes * news_us / 1e4,
+            "% of a core",
+            Some(CPU_LIMIT_PERCENT),
+            "members, table, configuration read anew",
+            "member_news_us, plan_us, config_us",
+        ),
+        Row::new(
+            "bytes of news, everything at each change",
+            changes * watched_bytes(slopes),
+            "bytes/s",
+            Some(BYTES_LIMIT),
+            "the watch as it runs today",
+            "member_bytes, table_bytes, change_bytes",
+        ),
+        Row::new(
+            "bytes of news, only what changed",
+            deltas + whole,
+            "bytes/s",
+            Some(BYTES_LIMIT),
+            "deltas of members, document without its trail (to be built)",
+            "member_bytes, config_bytes",
+        ),
+        Row::new(
+            "memory of links to all agents",
+            links / VALUE_BYTES,
+            "MB",
+            Some(MEMORY_LIMIT_MB),
+            "links as they run today",
+            "link_memory",
+        ),
+        Row::new(
+            "memory of links to the owners",
+            owner_links / VALUE_BYTES,
+            "MB",
+            Some(MEMORY_LIMIT_MB),
+            "links between owners and their 64 gates (to be built)",
+            "link_memory",
+        ),
+    ]
+}
+
+fn store(slopes: &Slopes) -> Vec<Row> {
+    let renewals = |leases: f64| leases / (LEASE_S / 3.0);
+    let watchers = WORKERS + ENTRIES;
+    let changes = (2.0 * MEMBER_CHANGES_PER_DAY + CONFIG_CHANGES_PER_DAY) / DAY_S;
+    let few = OWNERS + ENTRIES;
+    vec![
+        Row::new(
+            "renewals, every agent a lease",
+            renewals(WORKERS),
+            "writes/s",
+            Some(STORE_WRITES),
+            "leases as they run today",
+            "counted: one write a second a lease",
+        ),
+        Row::new(
+            "renewals, owners only",
+            renewals(OWNERS),
+            "writes/s",
+            Some(STORE_WRITES),
+            "gates beat to their owners (to be built)",
+            "counted",
+        ),
+        Row::new(
+            "watches waiting, every process one",
+            watchers,
+            "calls at once",
+            Some(STORE_READS),
+            "watches as they run today",
+            "counted",
+        ),
+        Row::new(
+            "watches begun, every process one",
+            watchers / WATCH_S + watchers * changes,
+            "calls/s",
+            Some(STORE_READS),
+            "watches as they run today",
+            "counted",
+        ),
+        Row::new(
+            "watches begun, owners and entries",
+            few / WATCH_S + few * changes,
+            "calls/s",
+            Some(STORE_READS),
+            "others ask peers (runs today for who is behind)",
+            "counted",
+        ),
+        Row::new(
+            "largest value: configuration and trail",
+            config_bytes(slopes),
+            "bytes",
+            Some(VALUE_BYTES),
+            "one record",
+            "config_bytes, change_bytes",
+        ),
+        Row::new(
+            "largest value: table of ranges and gates",
+            slopes.get("table_bytes").at(RANGES) + WORKERS * 40.0,
+            "bytes",
+            Some(VALUE_BYTES),
+            "one record",
+            "table_bytes",
+        ),
+    ]
+}
+
+fn fits(slopes: &Slopes) -> String {
+    let mut text = String::from(
+        "### The fits\n\n| series | per | unit | slope | at zero | error | measured up to |\n\
+         |---|---|---|---|---|---|---|\n",
+    );
+    let line = |(name, series): (&String, &Series)| {
+        format!(
+            "| {name} | {} | {} | {:.4} | {:.1} | {:.1}% | {:.0} |\n",
+            series.per,
+            series.unit,
+            series.slope,
+            series.intercept,
+            series.error * 100.0,
+            series.largest()
+        )
+    };
+    text.extend(slopes.series.iter().map(line));
+    text
 }
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -10,6 +10,7 @@
 pub mod fault;
 pub mod history;
 pub mod report;
+pub mod slope_fleet;
 pub mod slopes;
 pub mod throughput;
 pub mod usage;
--- /dev/null
+++ b/src/bench/slope_fleet.rs
@@ -0,0 +1,245 @@
+//! Made-up members, tables and submissions for the slopes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::config::Config;
+use crate::fleet::{ConfigRecord, Fleet, Holder, MemberRecord, Passage, Row, Table};
+use crate::gate::{Gate, GateAction, GateSettings, RunResult};
+use crate::id::{Epoch, MemberId, RangeId, SubmissionId, TaskId};
+use crate::load::LoadSample;
+use crate::message::{Message, Start, Submission, TaskOutcome};
+use crate::owner::{Owner, OwnerAction};
+use crate::time::Moment;
+
+const WALL_MS: u64 = 1_800_000_000_000;
+
+/// Name of a made-up member, as long as real ones are.
+pub fn member(index: usize) -> MemberId {
+    MemberId::new(
+        &format!("logger-intake-{index:04}"),
+        0x1234_5678_9abc + index as u64,
+    )
+}
+
+/// Record of a made-up member.
+pub fn record(index: usize) -> MemberRecord {
+    MemberRecord {
+        id: member(index),
+        session: 1,
+        peer: ([10, 20, (index / 250) as u8, (index % 250) as u8], 7400).into(),
+        failure_domain: ["a", "b", "c", "d"][index % 4].to_string(),
+        rack: format!("rack-{:03}", index / 3),
+        service: "s".to_string(),
+        slots: 64,
+        accelerators: 1,
+        leaving: false,
+    }
+}
+
+/// Load of a made-up member.
+pub fn sample(index: usize) -> LoadSample {
+    LoadSample {
+        gate: member(index),
+        number: 123_456,
+        running: 30 + (index % 20) as u32,
+        urgent_queued: 0,
+        queued: 2,
+        mean_run_us: 180_000,
+        slowness_percent: 100,
+        failed_percent: 0,
+        leaving: false,
+    }
+}
+
+/// A table in which 128 members own the ranges and `gates` take part.
+pub fn table(ranges: u32, gates: usize) -> Table {
+    let row = |index: u32| Row {
+        owner: Holder {
+            member: member(index as usize % 128),
+            session: 1,
+        },
+        epoch: Epoch(3),
+        passage: Passage::HandedOver,
+        departure_ms: WALL_MS,
+    };
+    Table {
+        revision: 7,
+        rows: (0..ranges).map(row).collect(),
+        gates: (0..gates).map(member).collect(),
+    }
+}
+
+/// A configuration with `teams` teams.
+pub fn document(teams: usize) -> String {
+    let mut text = String::from(
+        "regions:\n  - { name: r1, failure_domains: [a, b] }\n  \
+         - { name: r2, failure_domains: [c, d] }\n\
+         services: [{ name: s, kinds: [{ name: k, priority: 1 }] }]\nteams:\n",
+    );
+    for team in 0..teams {
+        text.push_str(&format!(
+            "  - {{ name: team-{team:03}, share: 2, max_slots: 400 }}\n"
+        ));
+    }
+    text
+}
+
+/// What a task gets.
+pub fn payload() -> Bytes {
+    Bytes::from_static(br#"{"run_ms":120,"nonce":"01a236c9-1fd0-77da-af6a-23ac97d0e672:17"}"#)
+}
+
+/// What a task gives.
+pub fn result() -> Bytes {
+    Bytes::from_static(
+        br#"{"echo":{"run_ms":120,"nonce":"01a236c9-1fd0-77da-af6a-23ac97d0e672:17"},"ok":true}"#,
+    )
+}
+
+/// The start of a task.
+pub fn start(task: TaskId) -> Start {
+    Start {
+        task,
+        range: RangeId(17),
+        epoch: Epoch(3),
+        kind: Arc::from("k"),
+        team: Some(Arc::from("team-017")),
+        priority: 1,
+        urgent: true,
+        budget_ms: 9_000,
+        expected_us: 150_000,
+        attempt: 0,
+        payload: payload(),
+    }
+}
+
+/// A fleet of records, with an owner of all its ranges and a gate.
+pub struct SlopeFleet {
+    /// What is known of it.
+    pub fleet: Fleet,
+    owner: Owner,
+    gate: Gate,
+    entry: MemberId,
+}
+
+impl SlopeFleet {
+    /// `members` members and `ranges` ranges.
+    pub fn new(members: usize, ranges: u32) -> SlopeFleet {
+        let mut fleet = Fleet::new(Config::empty());
+        let text = format!("{}ownership: {{ ranges: {ranges} }}\n", document(2));
+        fleet.take_config(ConfigRecord {
+            revision: 1,
+            document: text,
+            drained: Vec::new(),
+            changes: Vec::new(),
+        });
+        fleet.take_members(5, (0..members).map(record).collect());
+        let mut table = table(ranges, members);
+        for row in &mut table.rows {
+            row.passage = Passage::First;
+        }
+        fleet.take_table(table);
+        let me = member(members + 1);
+        let mut own = (**fleet.table()).clone();
+        own.revision += 1;
+        let holder = Holder {
+            member: me.clone(),
+            session: 1,
+        };
+        own.rows
+            .iter_mut()
+            .for_each(|row| row.owner = holder.clone());
+        let mut owned = fleet.clone();
+        owned.take_table(own);
+        let mut owner = Owner::new(me.clone(), "a", fleet.config().clone(), 1);
+        owner.leased_until(u64::MAX);
+        owner.reconcile(moment(), &owned, Some(&holder));
+        let settings = GateSettings {
+            me,
+            service: "s".to_string(),
+            slots: 1_000,
+        };
+        let gate = Gate::new(settings, fleet.config());
+        let entry = MemberId::new("entry", 1);
+        SlopeFleet {
+            fleet,
+            owner,
+            gate,
+            entry,
+        }
+    }
+
+    /// Accepts a request and leaves it open.
+    pub fn open_request(&mut self, number: usize) {
+        self.submit(number);
+    }
+
+    fn submit(&mut self, number: usize) -> Vec<OwnerAction> {
+        let id = id(number);
+        let mut submission = Submission::question(id, 3_600_000);
+        submission.service = Arc::from("s");
+        submission.kind = Arc::from("k");
+        submission.priority = 1;
+        submission.tasks = vec![payload()];
+        let entry = self.entry.clone();
+        self.owner.submit(moment(), &self.fleet, &entry, submission)
+    }
+
+    /// Accepts a request and ends it at once.
+    pub fn run_request(&mut self, number: usize) {
+        for action in self.submit(number) {
+            let OwnerAction::Send {
+                to,
+                message: Message::Start(start),
+            } = action
+            else {
+                continue;
+            };
+            let outcome = TaskOutcome::Done(Bytes::copy_from_slice(&result()));
+            self.owner
+                .finished(moment(), &self.fleet, &to, start.task, outcome, 1_000);
+        }
+    }
+
+    /// Starts a task at the gate and ends it at once.
+    pub fn run_at_gate(&mut self, number: usize) {
+        let submission = id(number);
+        let task = TaskId {
+            submission,
+            index: 0,
+        };
+        let entry = self.entry.clone();
+        for action in self.gate.start(moment(), &entry, start(task)) {
+            if let GateAction::Run { task, .. } = action {
+                let outcome = TaskOutcome::Done(Bytes::copy_from_slice(&result()));
+                self.gate.ended(moment(), task, RunResult::Ended(outcome));
+            }
+        }
+    }
+
+    /// Lets a little time pass for the owner.
+    pub fn tick(&mut self) {
+        let now = Moment {
+            mono_us: moment().mono_us + 1_000,
+            ..moment()
+        };
+        self.owner.tick(now, &self.fleet);
+    }
+}
+
+/// The id of a made-up submission; multiplying spreads its number over all bits.
+fn id(number: usize) -> SubmissionId {
+    let spread = (number as u128 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835);
+    SubmissionId::mint(WALL_MS, spread)
+}
+
+fn moment() -> Moment {
+    let mono_us = Duration::from_secs(100).as_micros() as u64;
+    Moment {
+        mono_us,
+        wall_ms: WALL_MS,
+    }
+}
--- a/src/message.rs
+++ b/src/message.rs
@@ -382,6 +382,15 @@
     pub outcome: Option<TaskOutcome>,
 }
 
+impl RecoveredTask {
+    /// Whether it certainly ran.
+    pub fn has_run(&self) -> bool {
+        self.outcome
+            .as_ref()
+            .is_some_and(|outcome| *outcome != TaskOutcome::Lost)
+    }
+}
+
 /// What became of a submission.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
--- a/src/owner/admission.rs
+++ b/src/owner/admission.rs
@@ -431,7 +431,7 @@
         match self.entries.get_mut(&id) {
             Some(entry) => {
                 entry.wait(from);
-                let effect = super::entry::effect(entry.open_tasks());
+                let effect = entry.effect();
                 let answer = Answer::failure(ResultCode::Cancelled, effect, "cancelled");
                 self.end(now, id, answer)
             }
@@ -458,8 +458,7 @@
         .iter()
         .filter(|task| matches!(task, TaskState::Ended(_)));
     let text = format!("{} of {} tasks ended", ended.count(), tasks.len());
-    let effect = super::entry::effect(tasks);
-    Answer::failure(ResultCode::Accepted, effect, &text)
+    Answer::failure(ResultCode::Accepted, entry.effect(), &text)
 }
 
 fn recovered_tasks(
--- a/src/owner/entry.rs
+++ b/src/owner/entry.rs
@@ -189,6 +189,34 @@
         }
     }
 
+    /// What is known of its execution; a recovered task was given to a gate.
+    pub fn effect(&self) -> Effect {
+        match &self.progress {
+            Progress::Open { tasks, .. } => effect(tasks),
+            Progress::Ended { answer, .. } => answer.effect,
+            Progress::Recovered { tasks } => match tasks.values().any(RecoveredTask::has_run) {
+                true => Effect::Ran,
+                false => Effect::Unknown,
+            },
+        }
+    }
+
+    /// Gates that may have a task of it.
+    pub fn gates(&self) -> Vec<(u32, MemberId)> {
+        match &self.progress {
+            Progress::Open { tasks, .. } => {
+                let sent = (0u32..).zip(tasks);
+                sent.filter_map(|(index, state)| Some((index, state.gate()?.clone())))
+                    .collect()
+            }
+            Progress::Ended { .. } => Vec::new(),
+            Progress::Recovered { tasks } => {
+                let open = tasks.values().filter(|task| task.outcome.is_none());
+                open.map(|task| (task.index, task.gate.clone())).collect()
+            }
+        }
+    }
+
     /// One of its tasks, while they are worked on.
     pub fn open_task_mut(&mut self, index: u32) -> Option<&mut TaskState> {
         match &mut self.progress {
--- a/src/owner/progress.rs
+++ b/src/owner/progress.rs
@@ -360,12 +360,13 @@
             answer: answer.clone(),
             next_attempt,
         };
+        let gates = entry.gates();
         let before = std::mem::replace(&mut entry.progress, ended);
         entry.submission.tasks = Vec::new();
         self.deadlines.remove(&(entry.deadline_us, id));
         self.expiries.insert((expiry, id));
         let waiters = std::mem::take(&mut entry.waiters);
-        let mut actions = self.drop_tasks(id, &before);
+        let mut actions = self.drop_tasks(id, &before, &gates);
         let message = |to: &MemberId| {
             send(
                 to,
@@ -380,23 +381,25 @@
         actions
     }
 
-    fn drop_tasks(&mut self, submission: SubmissionId, progress: &Progress) -> OwnerActions {
-        let Progress::Open { tasks, .. } = progress else {
-            return Vec::new();
-        };
-        let mut actions = Vec::new();
-        for (index, state) in (0u32..).zip(tasks) {
-            let task = TaskId { submission, index };
-            match state {
-                TaskState::Waiting { .. } => self.backlog.remove(task),
-                TaskState::Sent { gate, .. } => {
-                    self.placer.ended(gate);
-                    actions.push(send(gate, Message::Stop { task }));
-                }
-                TaskState::Ended(_) => {}
-            }
+    /// Takes waiting tasks out of the backlog and stops those at gates.
+    fn drop_tasks(
+        &mut self,
+        submission: SubmissionId,
+        progress: &Progress,
+        gates: &[(u32, MemberId)],
+    ) -> OwnerActions {
+        if let Progress::Open { tasks, .. } = progress {
+            let indexes = (0u32..).zip(tasks).map(|(index, _)| index);
+            indexes.for_each(|index| self.backlog.remove(TaskId { submission, index }));
+            gates.iter().for_each(|(_, gate)| self.placer.ended(gate));
         }
-        actions
+        let stop = |index: u32| Message::Stop {
+            task: TaskId { submission, index },
+        };
+        gates
+            .iter()
+            .map(|(index, gate)| send(gate, stop(*index)))
+            .collect()
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -470,7 +470,10 @@
 
     fn send(&mut self, from: MemberId, to: MemberId, message: Message) {
         if self.percent(self.trouble.lost) {
-            self.relink.push((self.now_us + 50_000, from, to));
+            let broken = |(_, a, b): &(u64, MemberId, MemberId)| *a == from && *b == to;
+            if !self.relink.iter().any(broken) {
+                self.relink.push((self.now_us + 50_000, from, to));
+            }
             return;
         }
         let loads = self.loads_for(&from, &to);
@@ -515,7 +518,8 @@
 
     fn index(&self, id: &MemberId) -> Option<usize> {
         let index = self.members.iter().position(|member| member.id == *id)?;
-        self.members[index].alive.then_some(index)
+        let one = &self.members[index];
+        (one.alive && !one.left).then_some(index)
     }
 
     fn deliver(&mut self) {
