Name the attempt in a refusal, so that a late one moves nothing

Cause: found by the property test: a refusal came twice; the second copy came when the owner had already sent the next attempt to the same gate, was taken for a refusal of that attempt, and the task went to a second gate too: two starts. Ruled out: ranges and epochs; the owner was the same throughout. Change: a refusal carries the number of the attempt that it is about. Conclusion: a guard of at-most-once was missing on doubled refusals.

--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -201,7 +201,7 @@
     /// An owner wants a task run.
     pub fn start(&mut self, now: Moment, from: &MemberId, start: Start) -> Vec<GateAction> {
         if start.epoch < self.floor(start.range) {
-            return vec![refuse(from, start.task, Refusal::StaleEpoch)];
+            return vec![refuse(from, start.task, start.attempt, Refusal::StaleEpoch)];
         }
         self.raise_floor(start.range, start.epoch);
         match self.records.get(&start.task) {
@@ -233,10 +233,10 @@
             state,
             touched_us: now.mono_us,
         };
-        let task = start.task;
+        let (task, attempt) = (start.task, start.attempt);
         self.records.insert(task, record);
         if let Some(reason) = refusal {
-            return vec![refuse(from, task, reason)];
+            return vec![refuse(from, task, attempt, reason)];
         }
         self.queue.push(Waiting::new(now, start));
         self.fill(now)
@@ -449,6 +449,7 @@
             State::Waiting | State::Running { .. } => Message::Running { task },
             State::Barred { reason } => Message::Refused {
                 task,
+                attempt: self.attempt,
                 reason: *reason,
             },
             State::Ended { outcome, run_us } => Message::Finished {
@@ -473,9 +474,13 @@
     }
 }
 
-fn refuse(to: &MemberId, task: TaskId, reason: Refusal) -> GateAction {
+fn refuse(to: &MemberId, task: TaskId, attempt: u32, reason: Refusal) -> GateAction {
     GateAction::Send {
         to: to.clone(),
-        message: Message::Refused { task, reason },
+        message: Message::Refused {
+            task,
+            attempt,
+            reason,
+        },
     }
 }
--- a/src/member.rs
+++ b/src/member.rs
@@ -155,7 +155,11 @@
             Message::Submit(submission) => owner.submit(now, fleet, from, *submission),
             Message::Cancel { id } => owner.cancel(now, from, id),
             Message::Lookup { id } => owner.lookup(now, from, id),
-            Message::Refused { task, reason } => owner.refused(now, fleet, from, task, reason),
+            Message::Refused {
+                task,
+                attempt,
+                reason,
+            } => owner.refused(now, fleet, from, task, attempt, reason),
             Message::Running { task } => {
                 owner.running(now, from, task);
                 Vec::new()
--- a/src/message.rs
+++ b/src/message.rs
@@ -92,6 +92,9 @@
     Refused {
         /// The task.
         task: TaskId,
+        /// The attempt that was not started; a refusal may come late or twice,
+        /// when a later attempt is under way at the same gate.
+        attempt: u32,
         /// Why.
         reason: Refusal,
     },
--- a/src/owner/progress.rs
+++ b/src/owner/progress.rs
@@ -18,9 +18,10 @@
         fleet: &Fleet,
         from: &MemberId,
         task: TaskId,
+        attempt: u32,
         reason: Refusal,
     ) -> OwnerActions {
-        let Some(attempt) = self.take_back(from, task, reason) else {
+        let Some(attempt) = self.take_back(from, task, attempt, reason) else {
             return Vec::new();
         };
         self.placer.ended(from);
@@ -30,7 +31,13 @@
     }
 
     /// Returns a sent task to waiting; gives the number of its next attempt.
-    fn take_back(&mut self, from: &MemberId, task: TaskId, reason: Refusal) -> Option<u32> {
+    fn take_back(
+        &mut self,
+        from: &MemberId,
+        task: TaskId,
+        refused: u32,
+        reason: Refusal,
+    ) -> Option<u32> {
         let entry = self.entries.get_mut(&task.submission)?;
         let state = entry.open_task_mut(task.index)?;
         let TaskState::Sent {
@@ -42,7 +49,7 @@
         else {
             return None;
         };
-        if gate != from {
+        if gate != from || *attempt != refused {
             return None;
         }
         let next = *attempt + 1;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -659,7 +659,16 @@
             .answer(id)
             .is_some_and(|answer| answer.effect == Effect::NotRun)
         {
-            assert_eq!(self.starts_of(id), 0, "{id} was not run, and ran");
+            let starts: Vec<_> = self
+                .start_times
+                .iter()
+                .filter(|(_, _, task)| task.submission == id)
+                .collect();
+            assert!(
+                starts.is_empty(),
+                "{id}: {:?} but {starts:?}",
+                self.answers.get(&id)
+            );
         }
     }
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -267,3 +267,18 @@
         .count();
     assert!(complete >= ids.len() * 9 / 10, "{complete} complete");
 }
+
+#[test]
+fn a_late_refusal_of_an_earlier_attempt_moves_nothing() {
+    for seed in 17..23 {
+        let mut fleet = FakeFleet::new(3, seed);
+        fleet.trouble = Trouble {
+            lost: 0,
+            doubled: 90,
+            late_ms: 150,
+        };
+        let ids = submit_many(&mut fleet, 30, 1);
+        fleet.run(10 * SECOND);
+        fleet.check(&ids);
+    }
+}
