--- a/src/owner/admission.rs
+++ b/src/owner/admission.rs
@@ -189,7 +189,6 @@
         submission: Submission,
         attempt: u32,
     ) -> OwnerActions {
-        let id = submission.id;
         if let Some(answer) = self.refusal(fleet, &submission) {
             return self.refuse(now, from, submission, attempt, answer);
         }
--- /dev/null
+++ b/tests/checker.rs
@@ -0,0 +1,202 @@
+//! The checker against histories that are broken on purpose, one a promise.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use winghold::bench::checker::{Promise, check};
+use winghold::bench::history::{
+    Attempt, ConfigAccepted, ConfigSeen, History, Leave, SubmissionRecord,
+};
+use winghold::bench::workload::Planned;
+use winghold::code::Effect;
+use winghold::config::Config;
+use winghold::standin::target::StartRecord;
+
+const CONFIG: &str = include_str!("../examples/logger-intake.yaml");
+
+fn record(id: &str, tasks: usize) -> SubmissionRecord {
+    let planned = Planned {
+        at: Duration::ZERO,
+        service: Arc::from("logger-intake"),
+        kind: Arc::from("burst-check"),
+        run_ms: vec![50.0; tasks],
+        is_job: tasks > 1,
+        deadline: Duration::from_secs(5),
+        team: None,
+    };
+    SubmissionRecord {
+        id: id.to_string(),
+        planned,
+        sent_us: 1_000,
+        done_us: 200_000,
+        attempts: vec![attempt("COMPLETE", Effect::Ran)],
+        results: tasks,
+        own_results: true,
+        cancelled: false,
+    }
+}
+
+fn attempt(code: &str, effect: Effect) -> Attempt {
+    Attempt {
+        sent_us: 1_000,
+        answered_us: 200_000,
+        code: code.to_string(),
+        effect: Some(effect),
+    }
+}
+
+fn start(task: &str, at_us: u64) -> StartRecord {
+    StartRecord {
+        task: task.to_string(),
+        target: "t".to_string(),
+        at_us,
+        finished: true,
+    }
+}
+
+fn broken(history: &History, starts: &[StartRecord]) -> Vec<Promise> {
+    let config = Config::from_yaml(CONFIG).expect("the example is valid");
+    check(history, starts, &config)
+        .iter()
+        .map(|one| one.promise)
+        .collect()
+}
+
+fn one(record: SubmissionRecord) -> History {
+    let history = History::default();
+    history.done(record);
+    history
+}
+
+#[test]
+fn a_sound_history_breaks_nothing() {
+    let history = one(record("a", 2));
+    history.set_only_planned(true);
+    let starts = [start("a/0", 2_000), start("a/1", 2_000)];
+    assert_eq!(broken(&history, &starts), []);
+}
+
+#[test]
+fn a_task_of_a_job_that_starts_twice() {
+    let starts = [
+        start("a/0", 2_000),
+        start("a/1", 2_000),
+        start("a/1", 9_000),
+    ];
+    assert_eq!(
+        broken(&one(record("a", 2)), &starts),
+        [Promise::NoDoubleStart]
+    );
+}
+
+#[test]
+fn a_request_that_may_not_be_repeated_and_starts_twice() {
+    let starts = [start("a/0", 2_000), start("a/0", 9_000)];
+    assert_eq!(broken(&one(record("a", 1)), &starts), [Promise::AtMostOnce]);
+}
+
+#[test]
+fn a_complete_answer_that_lacks_a_result() {
+    let mut short = record("a", 2);
+    short.results = 1;
+    let starts = [start("a/0", 2_000), start("a/1", 2_000)];
+    assert_eq!(broken(&one(short), &starts), [Promise::WholeAnswer]);
+}
+
+#[test]
+fn a_complete_answer_to_a_task_that_never_ran() {
+    assert_eq!(
+        broken(&one(record("a", 2)), &[start("a/0", 2_000)]),
+        [Promise::WholeAnswer]
+    );
+}
+
+#[test]
+fn an_answer_that_belongs_to_another() {
+    let mut crossed = record("a", 1);
+    crossed.own_results = false;
+    assert_eq!(
+        broken(&one(crossed), &[start("a/0", 2_000)]),
+        [Promise::OwnAnswer]
+    );
+}
+
+#[test]
+fn a_not_run_that_ran() {
+    let mut refused = record("a", 1);
+    refused.attempts = vec![attempt("NO_OWNER", Effect::NotRun)];
+    assert_eq!(
+        broken(&one(refused), &[start("a/0", 2_000)]),
+        [Promise::TrueNotRun]
+    );
+}
+
+#[test]
+fn a_not_run_that_ran_only_after_its_caller_came_back() {
+    let mut refused = record("a", 1);
+    let mut again = attempt("COMPLETE", Effect::Ran);
+    again.sent_us = 300_000;
+    refused.attempts = vec![attempt("NO_OWNER", Effect::NotRun), again];
+    assert_eq!(broken(&one(refused), &[start("a/0", 301_000)]), []);
+}
+
+#[test]
+fn a_leaving_target_that_starts_something() {
+    let history = one(record("a", 1));
+    history.left(Leave {
+        target: "t".to_string(),
+        at_us: 0,
+        until_us: u64::MAX,
+    });
+    assert_eq!(
+        broken(&history, &[start("a/0", 3_500_000)]),
+        [Promise::LeavingGetsNothing]
+    );
+}
+
+#[test]
+fn a_planned_stop_that_cuts_a_request() {
+    let mut cut = record("a", 1);
+    cut.attempts = vec![attempt("OUTCOME_UNKNOWN", Effect::Unknown)];
+    let history = one(cut);
+    history.set_only_planned(true);
+    let starts = [start("a/0", 2_000)];
+    assert_eq!(broken(&history, &starts), [Promise::PlannedStopCutsNothing]);
+}
+
+#[test]
+fn an_answer_long_after_the_deadline() {
+    let mut late = record("a", 1);
+    late.done_us = 6_500_000;
+    assert_eq!(
+        broken(&one(late), &[start("a/0", 2_000)]),
+        [Promise::AnsweredInTime]
+    );
+}
+
+fn seen(revision: u64, at_us: u64) -> ConfigSeen {
+    ConfigSeen {
+        process: "p".to_string(),
+        revision,
+        at_us,
+    }
+}
+
+#[test]
+fn a_configuration_that_reverts() {
+    let history = History::default();
+    history.saw(seen(3, 1_000));
+    history.saw(seen(2, 2_000));
+    assert_eq!(broken(&history, &[]), [Promise::ConfigNeverReverts]);
+}
+
+#[test]
+fn a_configuration_that_is_not_in_force_in_time() {
+    let history = History::default();
+    history.accepted(ConfigAccepted {
+        revision: 4,
+        at_us: 0,
+    });
+    history.saw(seen(3, 5_500_000));
+    assert_eq!(broken(&history, &[]), [Promise::ConfigInForce]);
+}
