--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -339,8 +339,10 @@
     fleet.ready().await;
     let client = fleet.client(0);
     let slow = r#"{"run_ms":1500}"#;
-    let calls = (0..8).map(|_| client.call(Method::POST, REQUESTS, &[], slow));
-    let calls = tokio::spawn(futures_util::future::join_all(calls.collect::<Vec<_>>()));
+    let calls = tokio::spawn(async move {
+        let calls = (0..8).map(|_| client.call(Method::POST, REQUESTS, &[], slow));
+        futures_util::future::join_all(calls).await
+    });
     tokio::time::sleep(Duration::from_millis(300)).await;
     fleet.entries[0].terminate();
     let failures: Vec<String> = calls
