--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -313,8 +313,10 @@
 
     fn on_frame(&mut self, now: Moment, frame: Frame) {
         self.node.take_header(now, &frame.from, &frame.header);
+        let fleet = &self.node.fleet;
         self.member
-            .observe(now, &self.node.fleet, &frame.header.loads);
+            .heard_clock(now, fleet, &frame.from, frame.header.wall_ms);
+        self.member.observe(now, fleet, &frame.header.loads);
         for message in frame.messages {
             self.on_message(now, &frame.from, message);
             self.apply(now);
--- a/src/bench/capacity.rs
+++ b/src/bench/capacity.rs
@@ -12,7 +12,7 @@
 const TEAMS: f64 = 220.0;
 const CANDIDATES: f64 = 64.0;
 const RETENTION_S: f64 = 300.0;
-const LEASE_S: f64 = 3.0;
+const LEASE_S: f64 = 2.0;
 const WATCH_S: f64 = 20.0;
 const MEMBER_CHANGES_PER_DAY: f64 = 2.0 * (340.0 + 10.0);
 const CONFIG_CHANGES_PER_DAY: f64 = 1_300.0;
@@ -320,7 +320,7 @@
 }
 
 fn store(slopes: &Slopes) -> Vec<Row> {
-    let renewals = |leases: f64| leases / (LEASE_S / 3.0);
+    let renewals = |leases: f64| leases / (LEASE_S / 2.0);
     let watchers = WORKERS + ENTRIES;
     let changes = (2.0 * MEMBER_CHANGES_PER_DAY + CONFIG_CHANGES_PER_DAY) / DAY_S;
     let few = OWNERS + ENTRIES;
--- a/src/bench/slopes.rs
+++ b/src/bench/slopes.rs
@@ -244,6 +244,7 @@
         header: Header {
             config: 1,
             table: 1,
+            wall_ms: 1_800_000_000_000,
             loads,
         },
         messages,
--- a/src/config.rs
+++ b/src/config.rs
@@ -288,7 +288,7 @@
         Ownership {
             ranges: 64,
             max_owners: 128,
-            lease_ms: 3_000,
+            lease_ms: 2_000,
             skew_ms: 200,
             retention_ms: 300_000,
             self_placement: false,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod agent;
 pub mod bench;
 pub mod client;
+pub mod clocks;
 pub mod code;
 pub mod config;
 pub mod config_store;
--- a/src/member.rs
+++ b/src/member.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use crate::clocks::Clocks;
 use crate::fleet::{Fleet, MemberRecord, News, Table};
 use crate::gate::{Gate, GateAction, GateSettings, RunResult};
 use crate::id::{MemberId, RangeId, TaskId};
@@ -80,6 +81,7 @@
     pub owner: Owner,
     /// Its lease and the table.
     pub ownership: Ownership,
+    clocks: Clocks,
     me: MemberId,
     service: String,
     stopping: Option<Stopping>,
@@ -99,6 +101,7 @@
         Member {
             gate: Gate::new(gate, &config),
             owner: Owner::new(me.clone(), &record.failure_domain, config, seed),
+            clocks: Clocks::default(),
             me,
             service: record.service.clone(),
             ownership: Ownership::new(record),
@@ -180,6 +183,17 @@
         self.push_owner(actions);
     }
 
+    /// A frame came that was sent at `wall_ms` on its sender's clock; while this
+    /// process's clock is off, it takes no new ids.
+    pub fn heard_clock(&mut self, now: Moment, fleet: &Fleet, from: &MemberId, wall_ms: u64) {
+        if wall_ms == 0 {
+            return;
+        }
+        self.clocks.heard(now, from, wall_ms);
+        let off = self.clocks.is_off(fleet.config().ownership.skew_ms);
+        self.owner.clock_off(off);
+    }
+
     /// Load samples came.
     pub fn observe(&mut self, now: Moment, fleet: &Fleet, samples: &[LoadSample]) {
         let actions = self.owner.observe(now, fleet, samples);
@@ -194,6 +208,7 @@
 
     /// A member's process has ended.
     pub fn member_ended(&mut self, now: Moment, fleet: &Fleet, member: &MemberId) {
+        self.clocks.forget(member);
         let actions = self.owner.gate_gone(now, fleet, member);
         self.push_owner(actions);
     }
--- a/src/message.rs
+++ b/src/message.rs
@@ -35,6 +35,9 @@
     pub config: u64,
     /// Revision of the table of key ranges at the sender.
     pub table: u64,
+    /// Wall clock of the sender in milliseconds; 0 if it does not say.
+    #[serde(default)]
+    pub wall_ms: u64,
     /// The freshest loads that the sender knows and did not send lately.
     pub loads: Vec<LoadSample>,
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -184,6 +184,7 @@
             let header = Header {
                 config: self.fleet.config_revision(),
                 table: self.fleet.table().revision,
+                wall_ms: self.timer.now().wall_ms,
                 loads: loads(&to),
             };
             let frame = Frame {
--- a/src/owner/admission.rs
+++ b/src/owner/admission.rs
@@ -62,7 +62,8 @@
 
     fn serves(&self, now: Moment, id: SubmissionId) -> bool {
         let held = self.ranges.get(&self.range_of(id));
-        now.mono_us < self.lease_until_us && held.is_some_and(Held::is_active)
+        let leased = now.mono_us < self.lease_until_us && !self.clock_off;
+        leased && held.is_some_and(Held::is_active)
     }
 
     fn join(&mut self, from: &MemberId, submission: &Submission) -> OwnerActions {
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -66,6 +66,7 @@
     me: MemberId,
     config: Arc<Config>,
     lease_until_us: u64,
+    clock_off: bool,
     ranges: HashMap<RangeId, Held>,
     /// Ranges that this process has served at some time.
     served: HashSet<RangeId>,
@@ -86,6 +87,7 @@
         Owner {
             me: me.clone(),
             lease_until_us: 0,
+            clock_off: false,
             ranges: HashMap::new(),
             served: HashSet::new(),
             handovers: HashMap::new(),
@@ -112,6 +114,11 @@
         self.lease_until_us = until_us;
     }
 
+    /// Whether the own wall clock is too far from the peers' to judge ids.
+    pub fn clock_off(&mut self, off: bool) {
+        self.clock_off = off;
+    }
+
     /// Takes in load samples and sends what can now be placed.
     pub fn observe(&mut self, now: Moment, fleet: &Fleet, samples: &[LoadSample]) -> OwnerActions {
         self.note_loads(now, samples);
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -284,7 +284,7 @@
 
     fn leased(&mut self, sent_us: u64, ttl: Duration) -> Vec<OwnershipAction> {
         self.until_us = sent_us + micros(ttl);
-        self.renew_us = sent_us + micros(ttl) / 3;
+        self.renew_us = sent_us + micros(ttl) / 2;
         vec![OwnershipAction::LeasedUntil(self.until_us)]
     }
 
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -355,14 +355,17 @@
     assert!(fleet.entries[0].ended_well(), "the entry does not stop");
 }
 
+/// Path, headers and body of a bad request; status and field of its answer.
+type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], &'a str, u16, &'a str);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_input_gets_a_clear_answer_and_harms_nobody() {
     let fleet = Fleet::start();
     fleet.ready().await;
     let client = fleet.client(0);
     let long = format!("\"{}\"", "x".repeat(3_000));
-    let many = format!("{{\"tasks\":[{}]}}", vec!["1"; 11].join(","));
-    let cases: [(&str, &[(&str, &str)], &str, u16, &str); 9] = [
+    let many = format!("{{\"tasks\":[{}]}}", ["1"; 11].join(","));
+    let cases: [Case<'_>; 9] = [
         (REQUESTS, &[], "{", 400, "body"),
         (REQUESTS, &[("idempotency-key", "7")], "{}", 400, "id"),
         (
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -184,6 +184,7 @@
     to: MemberId,
     message: Message,
     loads: Vec<LoadSample>,
+    wall_ms: u64,
 }
 
 /// A fleet in virtual time.
@@ -478,6 +479,10 @@
             return;
         }
         let loads = self.loads_for(&from, &to);
+        let skew_ms = self
+            .index(&from)
+            .map_or(0, |index| self.members[index].skew_ms);
+        let wall_ms = self.moment(skew_ms).wall_ms;
         // A stream doubles nothing by itself; whoever sends a submission again
         // counts it.
         let doubled = self.percent(self.trouble.doubled);
@@ -491,6 +496,7 @@
                 to: to.clone(),
                 message: message.clone(),
                 loads: loads.clone(),
+                wall_ms,
             };
             self.flights.push(flight);
         }
@@ -552,6 +558,8 @@
         }
         let now = self.moment(self.members[index].skew_ms);
         let one = &mut self.members[index];
+        one.member
+            .heard_clock(now, &one.fleet, &flight.from, flight.wall_ms);
         one.member.observe(now, &one.fleet, &flight.loads);
         one.member
             .on_message(now, &one.fleet, &flight.from, flight.message);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -282,3 +282,25 @@
         fleet.check(&ids);
     }
 }
+
+#[test]
+fn a_process_whose_clock_is_off_takes_no_new_ids() {
+    let mut fleet = FakeFleet::new(4, 30);
+    let first = fleet.id();
+    let victim = fleet.owner_of(first);
+    fleet.members[victim].skew_ms = -700;
+    for _ in 0..40 {
+        submit_many(&mut fleet, 4, 1);
+        fleet.run(Duration::from_millis(300));
+    }
+    let id = std::iter::repeat_with(|| fleet.id())
+        .take(200)
+        .collect::<Vec<_>>()
+        .into_iter()
+        .find(|id| fleet.owner_of(*id) == victim)
+        .expect("some id is the victim's");
+    fleet.submit(id, "once", 1, 3_000);
+    fleet.run(4 * SECOND);
+    assert_ne!(code(&fleet, id), ResultCode::Complete);
+    assert_eq!(fleet.starts_of(id), 0);
+}
