Raise the proof's floor for a gate that goes while a range waits

Cause: found by the property test: a gate left between a takeover and its recovery; it was not asked, and its departure, written into the row since, was not looked at: an id that ran there was called not run. Change: a range that starts to recover takes the departure in the present row.

--- a/src/owner/ranges.rs
+++ b/src/owner/ranges.rs
@@ -261,6 +261,10 @@
         };
         match &mut held.phase {
             Phase::Waiting { until_us } if *until_us <= now.mono_us => {
+                // A gate may have gone while this owner waited.
+                let row = fleet.table().row(range);
+                let departure_ms = row.map_or(u64::MAX, |row| row.departure_ms);
+                held.proof_floor_ms = held.proof_floor_ms.max(departure_ms);
                 held.phase = Phase::Recovering {
                     missing: fleet.table().gates.iter().cloned().collect(),
                     ask_us: 0,
