Count what a new owner's own gate ran before the range was its own

A dead owner's own ranges were taken as provable, since an owner does not use its own target; but it had, as a gate of the owner before. The next owner called a job not run of which five tasks ran. Ruled out: the handover's data; the crash lost owner and gate together. Change: a row says since when its owner has it; when that owner is gone, ids up to then cannot be proved. Conclusion: the proof of "not run" now covers changes of owner; the starting design did not.

--- a/src/bench/slope_fleet.rs
+++ b/src/bench/slope_fleet.rs
@@ -64,6 +64,7 @@
         epoch: Epoch(3),
         passage: Passage::HandedOver,
         departure_ms: WALL_MS,
+        since_ms: WALL_MS,
     };
     Table {
         revision: 7,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -94,6 +94,10 @@
     /// Wall clock by which a gate other than the owner's was lost or left;
     /// what older ids started there cannot be recovered.
     pub departure_ms: u64,
+    /// Wall clock by which its owner got it; the owner's gate may hold tasks
+    /// that an owner before started there.
+    #[serde(default)]
+    pub since_ms: u64,
 }
 
 /// The table of key ranges.
--- a/src/ownership/plan.rs
+++ b/src/ownership/plan.rs
@@ -68,6 +68,7 @@
             epoch: Epoch(1),
             passage: Passage::First,
             departure_ms: 0,
+            since_ms: 0,
         };
         (count > 0).then(|| (0..self.ranges as usize).map(row).collect())
     }
@@ -90,12 +91,13 @@
         }
     }
 
-    /// Whatever `gone` had started is lost, except for ranges of its own,
-    /// whose tasks it never ran itself.
+    /// Whatever `gone` had started is lost. An owner never runs tasks of its own
+    /// ranges, so for those only what it ran before they were its own.
     fn note_departure(&self, next: &mut Table, gone: &MemberId) {
-        let affected = |row: &&mut Row| self.self_placement || row.owner.member != *gone;
-        for row in next.rows.iter_mut().filter(affected) {
-            row.departure_ms = self.departure_ms;
+        for row in &mut next.rows {
+            let own = row.owner.member == *gone && !self.self_placement;
+            let lost_ms = if own { row.since_ms } else { self.departure_ms };
+            row.departure_ms = row.departure_ms.max(lost_ms);
         }
     }
 
@@ -106,7 +108,7 @@
             };
             let row = next.rows.get_mut(range.0 as usize);
             if let Some(row) = row.filter(|row| row.epoch == *epoch) {
-                row.pass(to.holder(), Passage::HandedOver);
+                row.pass(to.holder(), Passage::HandedOver, self.departure_ms);
             }
         }
     }
@@ -116,7 +118,8 @@
             let member = self.members.get(&row.owner.member);
             let renewed = member.filter(|member| member.session > row.owner.session);
             if let Some(member) = renewed {
-                row.pass(member.holder(), Passage::Resumed);
+                let since_ms = row.since_ms;
+                row.pass(member.holder(), Passage::Resumed, since_ms);
             }
         }
     }
@@ -136,16 +139,21 @@
                 return;
             };
             counts[index] += 1;
-            row.pass(owners[index].holder(), Passage::TakenOver);
+            row.pass(
+                owners[index].holder(),
+                Passage::TakenOver,
+                self.departure_ms,
+            );
         }
     }
 }
 
 impl Row {
-    fn pass(&mut self, owner: Holder, passage: Passage) {
+    fn pass(&mut self, owner: Holder, passage: Passage, since_ms: u64) {
         self.owner = owner;
         self.epoch = self.epoch.next();
         self.passage = passage;
+        self.since_ms = since_ms;
     }
 }
 
