--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -23,7 +23,7 @@
 use crate::member::{Member, MemberAction};
 use crate::message::{Frame, Message};
 use crate::metrics::Metrics;
-use crate::node::{Node, Tally, WatchReply, watch_store};
+use crate::node::{Node, Stimulus, Tally, WatchReply, feed, watch_store};
 use crate::ownership::StoreOp;
 use crate::settings::AgentSettings;
 use crate::store::{Store, StoreError, StoreReply, StoreRequest};
@@ -31,8 +31,6 @@
 use crate::time::{Moment, Timer};
 use crate::worker::{Control, Run, Worker};
 
-/// How often the state machines are told that time has passed.
-const TICK: Duration = Duration::from_millis(20);
 /// Most events that are handled before frames leave.
 const BATCH: usize = 512;
 /// Time for the last frames to leave.
@@ -91,6 +89,16 @@
     Stop,
 }
 
+impl From<Stimulus> for Event {
+    fn from(stimulus: Stimulus) -> Event {
+        match stimulus {
+            Stimulus::Link(event) => Event::Link(event),
+            Stimulus::Tick => Event::Tick,
+            Stimulus::Stop => Event::Stop,
+        }
+    }
+}
+
 impl From<WatchReply> for Event {
     fn from(reply: WatchReply) -> Event {
         Event::Watch(reply)
@@ -193,32 +201,6 @@
     }
 }
 
-/// Turns links, time and the stop into events.
-async fn feed(
-    timer: Timer,
-    mut links: UnboundedReceiver<LinkEvent>,
-    stop: Stop,
-    tx: UnboundedSender<Event>,
-) {
-    let mut ticks = timer.every(TICK);
-    let stopped = stop.asked();
-    tokio::pin!(stopped);
-    let mut told = false;
-    loop {
-        let event = tokio::select! {
-            Some(event) = links.recv() => Event::Link(event),
-            Some(()) = ticks.recv() => Event::Tick,
-            () = &mut stopped, if !told => {
-                told = true;
-                Event::Stop
-            }
-        };
-        if tx.send(event).is_err() {
-            return;
-        }
-    }
-}
-
 fn record(me: &MemberId, addr: SocketAddr, settings: &AgentSettings) -> MemberRecord {
     MemberRecord {
         id: me.clone(),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,14 +26,14 @@
 use crate::load::LoadBook;
 use crate::message::{Answer, Ask, Message, Submission};
 use crate::metrics::Metrics;
-use crate::node::{Node, Tally, WatchReply, watch_store};
+use crate::node::{Node, Stimulus, Tally, WatchReply, feed, watch_store};
 use crate::router::{Router, RouterAction};
 use crate::settings::EntrySettings;
 use crate::store::{Store, StoreReply};
 use crate::supervisor::{Stop, Stopper, Supervisor};
 use crate::time::{Moment, Timer};
 
-const TICK: Duration = Duration::from_millis(20);
+/// Most events that are handled before frames leave.
 const BATCH: usize = 512;
 /// Time between the first sign of a stop and the end of listening, for the
 /// balancer to notice.
@@ -111,6 +111,16 @@
     Stop,
 }
 
+impl From<Stimulus> for Event {
+    fn from(stimulus: Stimulus) -> Event {
+        match stimulus {
+            Stimulus::Link(event) => Event::Link(event),
+            Stimulus::Tick => Event::Tick,
+            Stimulus::Stop => Event::Stop,
+        }
+    }
+}
+
 impl From<WatchReply> for Event {
     fn from(reply: WatchReply) -> Event {
         Event::Watch(reply)
@@ -305,31 +315,6 @@
     }
 }
 
-async fn feed(
-    timer: Timer,
-    mut links: UnboundedReceiver<LinkEvent>,
-    stop: Stop,
-    tx: UnboundedSender<Event>,
-) {
-    let mut ticks = timer.every(TICK);
-    let stopped = stop.asked();
-    tokio::pin!(stopped);
-    let mut told = false;
-    loop {
-        let event = tokio::select! {
-            Some(event) = links.recv() => Event::Link(event),
-            Some(()) = ticks.recv() => Event::Tick,
-            () = &mut stopped, if !told => {
-                told = true;
-                Event::Stop
-            }
-        };
-        if tx.send(event).is_err() {
-            return;
-        }
-    }
-}
-
 impl Core {
     async fn run(mut self, mut events: UnboundedReceiver<Event>, http: Stopper) {
         let mut batch = Vec::with_capacity(BATCH);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod error;
 pub mod fleet;
 pub mod gate;
+pub mod host;
 pub mod id;
 pub mod link;
 pub mod load;
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,20 +14,23 @@
 
 use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, info, warn};
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
 use crate::fleet::{
     CONFIG_KEY, ConfigRecord, Fleet, MEMBER_PREFIX, MemberRecord, News, PREFIX, Snapshot, TABLE_KEY,
 };
 use crate::id::MemberId;
-use crate::link::Links;
+use crate::link::{LinkEvent, Links};
 use crate::load::LoadSample;
 use crate::message::{Frame, Header, Message, MessageClass};
 use crate::metrics::Metrics;
 use crate::ownership::parse_table;
 use crate::store::{Store, StoreEntry, StoreError, StoreReply, StoreRequest};
+use crate::supervisor::Stop;
 use crate::time::{Moment, Timer, micros};
 
+/// How often the state machines are told that time has passed.
+const TICK: Duration = Duration::from_millis(20);
 /// Longest wait of a watch.
 const WATCH: Duration = Duration::from_secs(20);
 /// Wait before a watch that failed is made again.
@@ -326,3 +329,40 @@
         }
     }
 }
+
+/// What a loop is told besides its own events.
+#[derive(Debug)]
+pub enum Stimulus {
+    /// Something happened on a link.
+    Link(LinkEvent),
+    /// Time has passed.
+    Tick,
+    /// The process should stop.
+    Stop,
+}
+
+/// Tells a loop of links, of time and, once, of the stop, until nobody listens.
+pub async fn feed<E: From<Stimulus>>(
+    timer: Timer,
+    mut links: UnboundedReceiver<LinkEvent>,
+    stop: Stop,
+    events: UnboundedSender<E>,
+) {
+    let mut ticks = timer.every(TICK);
+    let stopped = stop.asked();
+    tokio::pin!(stopped);
+    let mut told = false;
+    loop {
+        let stimulus = tokio::select! {
+            Some(event) = links.recv() => Stimulus::Link(event),
+            Some(()) = ticks.recv() => Stimulus::Tick,
+            () = &mut stopped, if !told => {
+                told = true;
+                Stimulus::Stop
+            }
+        };
+        if events.send(E::from(stimulus)).is_err() {
+            return;
+        }
+    }
+}
--- a/src/owner/admission.rs
+++ b/src/owner/admission.rs
@@ -10,7 +10,7 @@
 use crate::message::{Answer, Ask, Message, RecoveredTask, Submission, TaskOutcome};
 use crate::owner::entry::{Entry, Progress, Step, TaskState};
 use crate::owner::ranges::Held;
-use crate::owner::{Owner, OwnerAction, OwnerActions, send};
+use crate::owner::{Owner, OwnerAction, OwnerActions, answer_to, send};
 use crate::placement::Want;
 use crate::time::Moment;
 
@@ -74,24 +74,10 @@
         if entry.submission.digest != submission.digest {
             let text = "this id belongs to another request";
             let answer = Answer::not_run(ResultCode::IdReused, text);
-            return vec![send(
-                from,
-                Message::Answer {
-                    id,
-                    about: Ask::Submit,
-                    answer,
-                },
-            )];
+            return vec![answer_to(from, id, Ask::Submit, answer)];
         }
         match entry.answer().cloned() {
-            Some(answer) => vec![send(
-                from,
-                Message::Answer {
-                    id,
-                    about: Ask::Submit,
-                    answer,
-                },
-            )],
+            Some(answer) => vec![answer_to(from, id, Ask::Submit, answer)],
             None => {
                 entry.wait(from);
                 entry.calls.push(submission.call);
@@ -138,25 +124,11 @@
             Novelty::Unknowable => {
                 let text = "an owner that is gone may have run it";
                 let answer = Answer::failure(ResultCode::OutcomeUnknown, Effect::Unknown, text);
-                vec![send(
-                    from,
-                    Message::Answer {
-                        id,
-                        about: Ask::Submit,
-                        answer,
-                    },
-                )]
+                vec![answer_to(from, id, Ask::Submit, answer)]
             }
             Novelty::Refused(code, effect, text) => {
                 let answer = Answer::failure(code, effect, text);
-                vec![send(
-                    from,
-                    Message::Answer {
-                        id,
-                        about: Ask::Submit,
-                        answer,
-                    },
-                )]
+                vec![answer_to(from, id, Ask::Submit, answer)]
             }
         }
     }
@@ -234,14 +206,7 @@
         };
         self.entries.insert(id, entry);
         self.expiries.insert((now.wall_ms + REFUSAL_KEPT_MS, id));
-        vec![send(
-            from,
-            Message::Answer {
-                id,
-                about: Ask::Submit,
-                answer,
-            },
-        )]
+        vec![answer_to(from, id, Ask::Submit, answer)]
     }
 
     /// Makes an entry and queues its tasks that wait.
@@ -425,14 +390,7 @@
             },
             None => Answer::failure(ResultCode::NotFound, Effect::Unknown, "no such submission"),
         };
-        vec![send(
-            from,
-            Message::Answer {
-                id,
-                about: Ask::Lookup,
-                answer,
-            },
-        )]
+        vec![answer_to(from, id, Ask::Lookup, answer)]
     }
 
     /// An entry cancels a submission; saying it again changes nothing.
@@ -442,14 +400,7 @@
         }
         let ended = self.entries.get(&id).and_then(Entry::answer).cloned();
         if let Some(answer) = ended {
-            return vec![send(
-                from,
-                Message::Answer {
-                    id,
-                    about: Ask::Cancel,
-                    answer,
-                },
-            )];
+            return vec![answer_to(from, id, Ask::Cancel, answer)];
         }
         match self.entries.get_mut(&id) {
             Some(entry) => {
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -29,7 +29,7 @@
 use crate::fleet::Fleet;
 use crate::id::{MemberId, RangeId, SubmissionId};
 use crate::load::LoadSample;
-use crate::message::Message;
+use crate::message::{Answer, Ask, Message};
 use crate::placement::Placer;
 use crate::retry::RetryBudget;
 use crate::time::Moment;
@@ -204,3 +204,7 @@
         message,
     }
 }
+
+fn answer_to(to: &MemberId, id: SubmissionId, about: Ask, answer: Answer) -> OwnerAction {
+    send(to, Message::Answer { id, about, answer })
+}
