Bound handovers by each owner's part; park submissions of a range being gained

Cause: after a change of members every owner handed half its excess to the same member, which handed it back, and each range taken was a table write of its own: 80 store calls a second; entries polled an owner that was recovering. Change: an owner hands over what is above its part and no more than the successor lacks; all that was taken goes into one table; submissions wait at the owner that gains their range. Conclusion: membership changes no longer flood the store; takeover still waits for the lease.

--- a/src/member.rs
+++ b/src/member.rs
@@ -144,9 +144,9 @@
                 let actions = self.gate.recover(from, range, epoch);
                 self.push_gate(actions);
             }
+            // The next tick writes all that were taken into one table.
             Message::HandoverTaken { range, epoch } => {
                 self.ownership.handover_taken(from, range, epoch);
-                self.tick_ownership(now, fleet);
             }
             message => self.on_owner_message(now, fleet, from, message),
         }
--- a/src/owner/admission.rs
+++ b/src/owner/admission.rs
@@ -1,12 +1,12 @@
 //! Taking submissions in, joining those already known, and refusing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use crate::code::{Effect, ResultCode};
 use crate::config::Kind;
 use crate::fleet::Fleet;
-use crate::id::{MemberId, SubmissionId, TaskId};
+use crate::id::{MemberId, RangeId, SubmissionId, TaskId};
 use crate::message::{Answer, Ask, Message, RecoveredTask, Submission, TaskOutcome};
 use crate::owner::entry::{Entry, Progress, Step, TaskState};
 use crate::owner::ranges::Held;
@@ -20,6 +20,14 @@
 /// How long a refusal at the door is remembered.
 const REFUSAL_KEPT_MS: u64 = 30_000;
 
+/// A submission that waits for its range.
+#[derive(Clone, Debug)]
+pub(super) struct Parked {
+    from: MemberId,
+    at_us: u64,
+    submission: Submission,
+}
+
 /// Whether an id that the table does not hold may have run before.
 enum Novelty {
     /// It never started.
@@ -40,6 +48,16 @@
         submission: Submission,
     ) -> OwnerActions {
         let id = submission.id;
+        if self.gains(now, id) {
+            let parked = Parked {
+                from: from.clone(),
+                at_us: now.mono_us,
+                submission,
+            };
+            let range = self.range_of(id);
+            self.parked.entry(range).or_default().push(parked);
+            return Vec::new();
+        }
         if !self.serves(now, id) {
             return vec![self.not_owner(from, id)];
         }
@@ -51,6 +69,33 @@
         }
     }
 
+    /// Whether an id's range is on its way to this owner.
+    fn gains(&self, now: Moment, id: SubmissionId) -> bool {
+        let held = self.ranges.get(&self.range_of(id));
+        self.is_leased(now) && held.is_some_and(Held::is_gaining)
+    }
+
+    fn is_leased(&self, now: Moment) -> bool {
+        now.mono_us < self.lease_until_us && !self.clock_off
+    }
+
+    /// Takes in what came before its range was active.
+    pub(super) fn submit_parked(&mut self, now: Moment, fleet: &Fleet) -> OwnerActions {
+        let ranges = &self.ranges;
+        let gaining = |range: &RangeId| ranges.get(range).is_some_and(Held::is_gaining);
+        let (wait, ready): (HashMap<_, _>, HashMap<_, _>) =
+            self.parked.drain().partition(|(range, _)| gaining(range));
+        self.parked = wait;
+        let mut actions = Vec::new();
+        for parked in ready.into_values().flatten() {
+            let waited_ms = now.mono_us.saturating_sub(parked.at_us) / 1_000;
+            let mut submission = parked.submission;
+            submission.budget_ms = submission.budget_ms.saturating_sub(waited_ms);
+            actions.extend(self.submit(now, fleet, &parked.from, submission));
+        }
+        actions
+    }
+
     /// Says that this owner does not serve an id now. It has done nothing with
     /// it if it never served the range, or still has the range's whole table.
     fn not_owner(&self, from: &MemberId, id: SubmissionId) -> OwnerAction {
@@ -62,8 +107,7 @@
 
     fn serves(&self, now: Moment, id: SubmissionId) -> bool {
         let held = self.ranges.get(&self.range_of(id));
-        let leased = now.mono_us < self.lease_until_us && !self.clock_off;
-        leased && held.is_some_and(Held::is_active)
+        self.is_leased(now) && held.is_some_and(Held::is_active)
     }
 
     fn join(&mut self, from: &MemberId, submission: &Submission) -> OwnerActions {
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -33,6 +33,7 @@
 use crate::placement::Placer;
 use crate::retry::RetryBudget;
 use crate::time::Moment;
+use admission::Parked;
 use dispatch::Backlog;
 use entry::Entry;
 use ranges::Held;
@@ -70,6 +71,8 @@
     ranges: HashMap<RangeId, Held>,
     /// Ranges that this process has served at some time.
     served: HashSet<RangeId>,
+    /// Submissions that came while their range was being gained.
+    parked: HashMap<RangeId, Vec<Parked>>,
     handovers: HashMap<RangeId, crate::message::Handover>,
     entries: HashMap<SubmissionId, Entry>,
     deadlines: BTreeSet<(u64, SubmissionId)>,
@@ -90,6 +93,7 @@
             clock_off: false,
             ranges: HashMap::new(),
             served: HashSet::new(),
+            parked: HashMap::new(),
             handovers: HashMap::new(),
             entries: HashMap::new(),
             deadlines: BTreeSet::new(),
@@ -161,6 +165,7 @@
     /// Time has passed.
     pub fn tick(&mut self, now: Moment, fleet: &Fleet) -> OwnerActions {
         let mut actions = self.advance_ranges(now, fleet);
+        actions.extend(self.submit_parked(now, fleet));
         actions.extend(self.end_late(now));
         actions.extend(self.inquire(now, fleet));
         self.forget_old(now);
--- a/src/owner/ranges.rs
+++ b/src/owner/ranges.rs
@@ -56,6 +56,11 @@
         matches!(self.phase, Phase::Active)
     }
 
+    /// Whether it will serve once its gates have answered.
+    pub fn is_gaining(&self) -> bool {
+        matches!(self.phase, Phase::Waiting { .. } | Phase::Recovering { .. })
+    }
+
     /// Whether it is being handed over.
     pub fn is_frozen(&self) -> bool {
         matches!(self.phase, Phase::Frozen)
--- a/src/ownership/handover.rs
+++ b/src/ownership/handover.rs
@@ -1,7 +1,7 @@
 //! Which ranges a member hands over, to whom, and how far that has come.
 //!
 //! A leaving member hands over everything; one that owns more than its part hands
-//! over the surplus. A range passes in the table only once its successor has
+//! over the surplus, and no more, since others hand over to the same member. A range passes in the table only once its successor has
 //! taken what it was told.
 
 use std::time::Duration;
@@ -101,12 +101,15 @@
                 .map(|((r, e), to)| (r, e, to.clone()))
                 .collect();
         }
-        let surplus = mine.len() > table.owned_by(least) + 1;
-        if !surplus || !self.handing.is_empty() {
+        let owners = successors.len() + 1;
+        let (part, rest) = (table.rows.len() / owners, table.rows.len() % owners);
+        let most = part + usize::from(rest > 0);
+        if !self.handing.is_empty() || table.owned_by(least) >= part {
             return Vec::new();
         }
-        let excess = (mine.len() - table.owned_by(least)) / 2;
-        let first = mine.into_iter().take(excess);
+        let surplus = mine.len().saturating_sub(most);
+        let wanted = part - table.owned_by(least);
+        let first = mine.into_iter().take(surplus.min(wanted));
         first
             .map(|(range, epoch)| (range, epoch, least.clone()))
             .collect()
--- a/src/query.rs
+++ b/src/query.rs
@@ -182,6 +182,13 @@
 
 /// Reads a statement.
 ///
+/// ```
+/// use winghold::query::{Statement, parse};
+///
+/// let statement = parse("drain logger-intake-03").unwrap();
+/// assert_eq!(statement, Statement::Drain("logger-intake-03".to_string()));
+/// ```
+///
 /// # Errors
 /// [`Error::Query`] with the column, counted from 1, at which it fails.
 pub fn parse(input: &str) -> Result<Statement> {
