--- a/src/bench/capacity.rs
+++ b/src/bench/capacity.rs
@@ -90,6 +90,8 @@
         "Agent as owner of key ranges (one of 128)",
         &owner(slopes),
     ));
+    let title = "An owner as aggregator of heartbeats (one of 128)";
+    text.push_str(&table(title, &aggregator(slopes)));
     text.push_str(&table("Any daemon, for control", &control(slopes)));
     text.push_str(&table("The platform's store, as we use it", &store(slopes)));
     text.push_str(&fits(slopes));
@@ -181,6 +183,14 @@
             "frames",
             "start_bytes",
         ),
+        Row::new(
+            "messages for tasks, in and out",
+            2.0 * starts,
+            "a second",
+            None,
+            "Start in, Finished out",
+            "counted",
+        ),
         Row::new(
             "memory of remembered tasks",
             kept * slopes.get("record_memory").slope / VALUE_BYTES,
@@ -200,6 +210,30 @@
     let open = tasks * MEAN_RUN_S;
     vec![
         Row::new("tasks placed", tasks, "a second", None, "dispatch", "given"),
+        Row::new(
+            "messages for jobs of 120, in and out",
+            2.0 * tasks + 2.0 * tasks / TASKS_PER_JOB,
+            "a second",
+            None,
+            "Submit, Start, Finished, Answer",
+            "counted",
+        ),
+        Row::new(
+            "bytes for tasks, in and out",
+            tasks * (slopes.get("start_bytes").slope + slopes.get("finish_bytes").slope) / 1e3,
+            "kB/s",
+            None,
+            "frames",
+            "start_bytes, finish_bytes",
+        ),
+        Row::new(
+            "requests under way",
+            open,
+            "entries",
+            None,
+            "table of submissions",
+            "given",
+        ),
         Row::new(
             "processor to choose among 64 gates",
             tasks * choose.at(CANDIDATES) / 1e4,
@@ -251,6 +285,32 @@
     ]
 }
 
+/// An owner as aggregator: each gate beats once a second to three owners.
+fn aggregator(slopes: &Slopes) -> Vec<Row> {
+    let beats = WORKERS * 3.0 / OWNERS;
+    let mechanism = "gates beat to three owners, on work frames where there are any (to be built)";
+    vec![
+        Row::new("gates heard", beats, "gates", None, mechanism, "counted"),
+        Row::new("beats in", beats, "a second", None, mechanism, "counted"),
+        Row::new(
+            "bytes of beats in",
+            beats * slopes.get("load_bytes").at(1.0),
+            "bytes/s",
+            Some(BYTES_LIMIT),
+            mechanism,
+            "load_bytes",
+        ),
+        Row::new(
+            "processor for beats, as for a message of a task",
+            beats * slopes.get("agent_job_us").slope / 2.0 / 1e4,
+            "% of a core",
+            Some(CPU_LIMIT_PERCENT),
+            mechanism,
+            "agent_job_us, half of a task's",
+        ),
+    ]
+}
+
 /// Bytes of everything that a watch brings today.
 fn watched_bytes(slopes: &Slopes) -> f64 {
     let members = slopes.get("member_bytes").at(WORKERS);
