--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -6,7 +6,9 @@
 
 use common::{FakeFleet, Trouble};
 use winghold::code::{Effect, ResultCode};
-use winghold::id::SubmissionId;
+use winghold::id::{MemberId, SubmissionId, TaskId};
+use winghold::message::{Message, Refusal, Submission};
+use winghold::owner::OwnerAction;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -304,3 +306,44 @@
     assert_ne!(code(&fleet, id), ResultCode::Complete);
     assert_eq!(fleet.starts_of(id), 0);
 }
+
+/// Where the one start among `actions` goes, and its attempt.
+fn started(actions: &[OwnerAction]) -> (MemberId, u32) {
+    let start = actions.iter().find_map(|action| match action {
+        OwnerAction::Send {
+            to,
+            message: Message::Start(start),
+        } => Some((to.clone(), start.attempt)),
+        _ => None,
+    });
+    start.expect("a start is sent")
+}
+
+#[test]
+fn a_second_copy_of_a_refusal_does_not_take_back_a_later_attempt() {
+    let mut fleet = FakeFleet::new(3, 31);
+    let id = fleet.id();
+    let task = TaskId {
+        submission: id,
+        index: 0,
+    };
+    let (index, now, entry) = (fleet.owner_of(id), fleet.now(), fleet.entry.clone());
+    let one = &mut fleet.members[index];
+    let mut submission = Submission::question(id, 5_000);
+    submission.service = "s".into();
+    submission.kind = "once".into();
+    submission.tasks = vec!["{}".into()];
+    let owner = &mut one.member.owner;
+    let (mut gate, mut attempt) = started(&owner.submit(now, &one.fleet, &entry, submission));
+    let mut refused: Vec<(MemberId, u32)> = Vec::new();
+    while !refused.iter().any(|(earlier, _)| *earlier == gate) {
+        refused.push((gate.clone(), attempt));
+        let actions = owner.refused(now, &one.fleet, &gate, task, attempt, Refusal::Busy);
+        (gate, attempt) = started(&actions);
+    }
+    for (earlier, attempt) in refused {
+        owner.refused(now, &one.fleet, &earlier, task, attempt, Refusal::Busy);
+        let state = &owner.entries()[&id].open_tasks()[0];
+        assert_eq!(state.gate(), Some(&gate), "taken back by a copy");
+    }
+}
