--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -21,7 +21,7 @@
 
 use crate::code::{Effect, ResultCode};
 use crate::entry::parse::{self, ID_HEADER, ParseResult, Parsed, refuse};
-use crate::entry::{Desk, operator};
+use crate::entry::{Handle, operator};
 use crate::error::Result;
 use crate::id::SubmissionId;
 use crate::message::{Answer, Ask, Submission};
@@ -44,9 +44,9 @@
 pub(crate) type Reply = Response<Full<Bytes>>;
 
 /// Serves until `stop`, then closes connections as they become idle.
-pub(crate) async fn serve(listener: TcpListener, desk: Desk, stop: Stop) -> Result<()> {
+pub(crate) async fn serve(listener: TcpListener, handle: Handle, stop: Stop) -> Result<()> {
     let graceful = GracefulShutdown::new();
-    let connections = desk.view().config.limits.connections;
+    let connections = handle.view().config.limits.connections;
     let permits = Arc::new(Semaphore::new(connections));
     let stopped = stop.asked();
     tokio::pin!(stopped);
@@ -58,14 +58,14 @@
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(err) => {
-                warn!(desk.log, "accept"; "error" => %err);
-                desk.timer.sleep(Duration::from_millis(50)).await;
+                warn!(handle.log, "accept"; "error" => %err);
+                handle.timer.sleep(Duration::from_millis(50)).await;
                 continue;
             }
         };
         match permits.clone().try_acquire_owned() {
             Ok(permit) => {
-                let connection = connection(stream, &desk, &graceful);
+                let connection = connection(stream, &handle, &graceful);
                 tokio::spawn(async move {
                     connection.await;
                     drop(permit);
@@ -77,7 +77,7 @@
         }
     }
     drop(listener);
-    desk.timer.within(CLOSING, graceful.shutdown()).await;
+    handle.timer.within(CLOSING, graceful.shutdown()).await;
     Ok(())
 }
 
@@ -88,16 +88,16 @@
 
 fn connection(
     stream: TcpStream,
-    desk: &Desk,
+    handle: &Handle,
     graceful: &GracefulShutdown,
 ) -> impl Future<Output = ()> + use<> {
     let _ = stream.set_nodelay(true);
-    let limits = desk.view().config.limits.clone();
-    let log = desk.log.clone();
-    let desk = desk.clone();
+    let limits = handle.view().config.limits.clone();
+    let log = handle.log.clone();
+    let handle = handle.clone();
     let service = service_fn(move |req| {
-        let desk = desk.clone();
-        async move { Ok::<_, Infallible>(answer(&desk, req).await) }
+        let handle = handle.clone();
+        async move { Ok::<_, Infallible>(answer(&handle, req).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -113,9 +113,9 @@
     }
 }
 
-async fn answer(desk: &Desk, req: Request<Incoming>) -> Reply {
-    let stopping = desk.view().stopping;
-    let mut reply = route(desk, req).await;
+async fn answer(handle: &Handle, req: Request<Incoming>) -> Reply {
+    let stopping = handle.view().stopping;
+    let mut reply = route(handle, req).await;
     if stopping {
         reply
             .headers_mut()
@@ -124,21 +124,21 @@
     reply
 }
 
-async fn route(desk: &Desk, req: Request<Incoming>) -> Reply {
+async fn route(handle: &Handle, req: Request<Incoming>) -> Reply {
     let path = req.uri().path().to_string();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     let method = req.method().clone();
     match (&method, parts.as_slice()) {
         (&Method::POST, ["v1", "services", service, "requests"]) => {
-            submit(desk, service, req, false).await
+            submit(handle, service, req, false).await
         }
         (&Method::POST, ["v1", "services", service, "jobs"]) => {
-            submit(desk, service, req, true).await
+            submit(handle, service, req, true).await
         }
-        (&Method::GET, ["v1", "jobs", id]) => about(desk, Ask::Lookup, id).await,
-        (&Method::DELETE, ["v1", "jobs" | "requests", id]) => about(desk, Ask::Cancel, id).await,
-        (&Method::GET, ["v1", "ready"]) => ready(desk),
-        (_, ["v1", "operator", rest @ ..]) => operator::route(desk, &method, rest, req).await,
+        (&Method::GET, ["v1", "jobs", id]) => about(handle, Ask::Lookup, id).await,
+        (&Method::DELETE, ["v1", "jobs" | "requests", id]) => about(handle, Ask::Cancel, id).await,
+        (&Method::GET, ["v1", "ready"]) => ready(handle),
+        (_, ["v1", "operator", rest @ ..]) => operator::route(handle, &method, rest, req).await,
         _ => refused(
             None,
             &refuse(ResultCode::NotFound, &format!("path: no `{path}`")),
@@ -147,38 +147,38 @@
 }
 
 /// Whether the balancer should send callers here.
-fn ready(desk: &Desk) -> Reply {
-    let view = desk.view();
+fn ready(handle: &Handle) -> Reply {
+    let view = handle.view();
     let ready = !view.stopping && view.revision > 0 && view.owned;
     let status = if ready { 200 } else { 503 };
     let body = json!({ "ready": ready, "config": view.revision });
     json_reply(status, &body)
 }
 
-async fn submit(desk: &Desk, service: &str, req: Request<Incoming>, job: bool) -> Reply {
+async fn submit(handle: &Handle, service: &str, req: Request<Incoming>, job: bool) -> Reply {
     let waits = req
         .uri()
         .query()
         .is_none_or(|query| !query.contains("wait=false"));
     let given = req.headers().get(ID_HEADER).and_then(|id| id.to_str().ok());
     let given = given.and_then(|id| id.parse().ok());
-    match read_submission(desk, service, req, job).await {
+    match read_submission(handle, service, req, job).await {
         Err(answer) => refused(given, &answer),
-        Ok(parsed) if waits => wait(desk, parsed).await,
-        Ok(parsed) => start(desk, parsed).await,
+        Ok(parsed) if waits => wait(handle, parsed).await,
+        Ok(parsed) => start(handle, parsed).await,
     }
 }
 
 async fn read_submission(
-    desk: &Desk,
+    handle: &Handle,
     service: &str,
     req: Request<Incoming>,
     job: bool,
 ) -> ParseResult<Parsed> {
     let (head, body) = req.into_parts();
-    let config = desk.view().config;
-    let body = read_body(desk, body).await?;
-    let wall_ms = desk.timer.now().wall_ms;
+    let config = handle.view().config;
+    let body = read_body(handle, body).await?;
+    let wall_ms = handle.timer.now().wall_ms;
     match job {
         true => parse::job(&config, service, &head.headers, &body, wall_ms),
         false => parse::request(&config, service, &head.headers, body, wall_ms),
@@ -186,8 +186,8 @@
 }
 
 /// Reads a body within the limits on its size and time.
-pub(crate) async fn read_body(desk: &Desk, body: Incoming) -> ParseResult<Bytes> {
-    let limits = desk.view().config.limits.clone();
+pub(crate) async fn read_body(handle: &Handle, body: Incoming) -> ParseResult<Bytes> {
+    let limits = handle.view().config.limits.clone();
     let most = limits.body_bytes;
     let too_large = || {
         let text = format!("body: over the limit of {most} bytes");
@@ -198,7 +198,7 @@
     }
     let reading = Limited::new(body, most).collect();
     let limit = Duration::from_millis(limits.body_ms);
-    match desk.timer.within(limit, reading).await {
+    match handle.timer.within(limit, reading).await {
         None => Err(refuse(ResultCode::SlowCaller, "body: sent too slowly")),
         Some(Ok(body)) => Ok(body.to_bytes()),
         Some(Err(err)) if err.is::<LengthLimitError>() => Err(too_large()),
@@ -206,33 +206,33 @@
     }
 }
 
-async fn wait(desk: &Desk, parsed: Parsed) -> Reply {
+async fn wait(handle: &Handle, parsed: Parsed) -> Reply {
     let Parsed { submission, fresh } = parsed;
     let (id, is_job) = (submission.id, submission.is_job);
-    let answer = desk.ask(Ask::Submit, submission, fresh).await;
+    let answer = handle.ask(Ask::Submit, submission, fresh).await;
     reply(id, is_job, &answer.unwrap_or_else(stopped))
 }
 
 /// Starts a submission that nobody waits for, and makes sure of its owner.
-async fn start(desk: &Desk, parsed: Parsed) -> Reply {
+async fn start(handle: &Handle, parsed: Parsed) -> Reply {
     let Parsed { submission, fresh } = parsed;
     let id = submission.id;
     let question = Submission {
         tasks: Vec::new(),
         ..submission.clone()
     };
-    desk.tell(Ask::Submit, submission, fresh);
-    let answer = desk.ask(Ask::Lookup, question, false).await;
+    handle.tell(Ask::Submit, submission, fresh);
+    let answer = handle.ask(Ask::Lookup, question, false).await;
     reply(id, true, &answer.unwrap_or_else(stopped))
 }
 
-async fn about(desk: &Desk, ask: Ask, id: &str) -> Reply {
+async fn about(handle: &Handle, ask: Ask, id: &str) -> Reply {
     let id = match parse::parse_id(id) {
         Ok(id) => id,
         Err(answer) => return refused(None, &answer),
     };
-    let question = Submission::question(id, desk.view().config.limits.deadline_ms.min(10_000));
-    let answer = desk.ask(ask, question, false).await;
+    let question = Submission::question(id, handle.view().config.limits.deadline_ms.min(10_000));
+    let answer = handle.ask(ask, question, false).await;
     reply(id, true, &answer.unwrap_or_else(stopped))
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,7 @@
 //! The entry: takes callers' and operators' HTTP and forwards to owners.
 //!
 //! It keeps nothing: a view of the fleet, and the questions under way. One loop
-//! holds the router; HTTP handlers talk to it through a [`Desk`].
+//! holds the router; HTTP handlers talk to it through a [`Handle`].
 
 mod http;
 mod operator;
@@ -129,7 +129,7 @@
 
 /// How HTTP handlers reach the loop.
 #[derive(Clone)]
-pub(crate) struct Desk {
+pub(crate) struct Handle {
     pub timer: Timer,
     pub store: Arc<dyn Store>,
     pub view: watch::Receiver<View>,
@@ -137,7 +137,7 @@
     tx: UnboundedSender<Event>,
 }
 
-impl Desk {
+impl Handle {
     /// Asks and waits for the answer.
     pub async fn ask(&self, ask: Ask, submission: Submission, fresh: bool) -> Option<Answer> {
         let (tx, rx) = oneshot::channel();
@@ -195,7 +195,7 @@
 /// An entry that has its ports and is ready to run.
 pub struct Entry {
     core: Core,
-    desk: Desk,
+    handle: Handle,
     peer_listener: TcpListener,
     http_listener: TcpListener,
     link_events: UnboundedReceiver<LinkEvent>,
@@ -234,7 +234,7 @@
             stopping: false,
         });
         let (tx, events) = unbounded_channel();
-        let desk = Desk {
+        let handle = Handle {
             timer: parts.timer.clone(),
             store: parts.store,
             view: view_rx,
@@ -254,7 +254,7 @@
         };
         Ok(Entry {
             core,
-            desk,
+            handle,
             peer_listener,
             http_listener,
             link_events,
@@ -282,7 +282,7 @@
     /// Runs until `stop`, then answers what is under way and ends.
     pub async fn run(self, stop: Stop) -> Result<()> {
         let core = self.core;
-        let desk = self.desk;
+        let handle = self.handle;
         let (timer, log) = (core.node.timer.clone(), core.node.log.clone());
         let links = core.node.links.clone();
         let (http_stopper, http_stop) = Stopper::new();
@@ -291,7 +291,8 @@
         tree.vital("peers", async move {
             links.serve(peer_listener, std::future::pending()).await
         });
-        let (store, watch_timer, watch_tx) = (desk.store.clone(), timer.clone(), desk.tx.clone());
+        let (store, watch_timer, watch_tx) =
+            (handle.store.clone(), timer.clone(), handle.tx.clone());
         tree.restarting("watch", move || {
             let watch = watch_store(
                 store.clone(),
@@ -304,8 +305,8 @@
                 Ok(())
             }
         });
-        tokio::spawn(feed(timer, self.link_events, stop, desk.tx.clone()));
-        let serving = tokio::spawn(http::serve(self.http_listener, desk, http_stop));
+        tokio::spawn(feed(timer, self.link_events, stop, handle.tx.clone()));
+        let serving = tokio::spawn(http::serve(self.http_listener, handle, http_stop));
         tree.vital("core", async move {
             core.run(self.events, http_stopper).await;
             let _ = serving.await;
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -9,7 +9,7 @@
 
 use crate::code::ResultCode;
 use crate::config_store::{ConfigStore, Edit, Proposal};
-use crate::entry::Desk;
+use crate::entry::Handle;
 use crate::entry::http::{Reply, json_reply, read_body, refused};
 use crate::entry::parse::refuse;
 use crate::error::Error;
@@ -43,19 +43,19 @@
 
 /// Answers an operator.
 pub(crate) async fn route(
-    desk: &Desk,
+    handle: &Handle,
     method: &Method,
     path: &[&str],
     req: Request<Incoming>,
 ) -> Reply {
     match (method, path) {
-        (&Method::GET, ["config"]) => config(desk).await,
-        (&Method::PUT, ["config"]) => apply(desk, req).await,
-        (&Method::GET, ["history"]) => history(desk).await,
-        (&Method::POST, ["targets", name, "drain"]) => drain(desk, name, true, req).await,
-        (&Method::POST, ["targets", name, "undrain"]) => drain(desk, name, false, req).await,
-        (&Method::GET, ["services"]) => json_reply(200, &services(desk)),
-        (&Method::GET, ["tables", name]) => table(desk, name, req.uri().query()).await,
+        (&Method::GET, ["config"]) => config(handle).await,
+        (&Method::PUT, ["config"]) => apply(handle, req).await,
+        (&Method::GET, ["history"]) => history(handle).await,
+        (&Method::POST, ["targets", name, "drain"]) => drain(handle, name, true, req).await,
+        (&Method::POST, ["targets", name, "undrain"]) => drain(handle, name, false, req).await,
+        (&Method::GET, ["services"]) => json_reply(200, &services(handle)),
+        (&Method::GET, ["tables", name]) => table(handle, name, req.uri().query()).await,
         _ => refused(
             None,
             &refuse(ResultCode::NotFound, "path: no such operator call"),
@@ -63,12 +63,12 @@
     }
 }
 
-fn store(desk: &Desk) -> ConfigStore {
-    ConfigStore::new(desk.store.clone(), desk.timer.clone())
+fn store(handle: &Handle) -> ConfigStore {
+    ConfigStore::new(handle.store.clone(), handle.timer.clone())
 }
 
-async fn config(desk: &Desk) -> Reply {
-    match store(desk).read().await {
+async fn config(handle: &Handle) -> Reply {
+    match store(handle).read().await {
         Ok(Some((record, _))) => json_reply(200, &document(&record)),
         Ok(None) => json_reply(
             200,
@@ -86,8 +86,8 @@
     })
 }
 
-async fn history(desk: &Desk) -> Reply {
-    match store(desk).read().await {
+async fn history(handle: &Handle) -> Reply {
+    match store(handle).read().await {
         Ok(record) => {
             let changes = record.map(|(record, _)| record.changes).unwrap_or_default();
             json_reply(200, &json!(changes))
@@ -96,8 +96,8 @@
     }
 }
 
-async fn apply(desk: &Desk, req: Request<Incoming>) -> Reply {
-    let body: ApplyBody = match read_json(desk, req).await {
+async fn apply(handle: &Handle, req: Request<Incoming>) -> Reply {
+    let body: ApplyBody = match read_json(handle, req).await {
         Ok(body) => body,
         Err(reply) => return reply,
     };
@@ -111,11 +111,11 @@
         note: body.note,
         change_id: body.change_id,
     };
-    propose(desk, proposal).await
+    propose(handle, proposal).await
 }
 
-async fn drain(desk: &Desk, target: &str, drained: bool, req: Request<Incoming>) -> Reply {
-    let body: DrainBody = match read_json(desk, req).await {
+async fn drain(handle: &Handle, target: &str, drained: bool, req: Request<Incoming>) -> Reply {
+    let body: DrainBody = match read_json(handle, req).await {
         Ok(body) => body,
         Err(reply) => return reply,
     };
@@ -129,13 +129,13 @@
         note: body.note,
         change_id: body.change_id,
     };
-    propose(desk, proposal).await
+    propose(handle, proposal).await
 }
 
-async fn propose(desk: &Desk, proposal: Proposal) -> Reply {
-    match store(desk).propose(&proposal).await {
+async fn propose(handle: &Handle, proposal: Proposal) -> Reply {
+    match store(handle).propose(&proposal).await {
         Ok(revision) => {
-            info!(desk.log, "configuration accepted"; "revision" => revision,
+            info!(handle.log, "configuration accepted"; "revision" => revision,
                 "who" => &proposal.who, "change" => &proposal.change_id);
             json_reply(200, &json!({ "revision": revision }))
         }
@@ -156,10 +156,10 @@
 }
 
 async fn read_json<T: serde::de::DeserializeOwned>(
-    desk: &Desk,
+    handle: &Handle,
     req: Request<Incoming>,
 ) -> Result<T, Reply> {
-    let body = read_body(desk, req.into_body())
+    let body = read_body(handle, req.into_body())
         .await
         .map_err(|answer| refused(None, &answer))?;
     serde_json::from_slice(&body).map_err(|err| {
@@ -168,8 +168,8 @@
     })
 }
 
-fn services(desk: &Desk) -> Value {
-    let config = desk.view().config;
+fn services(handle: &Handle) -> Value {
+    let config = handle.view().config;
     let row = |service: &crate::config::Service, kind: &crate::config::Kind| {
         json!({
             "service": service.name,
@@ -187,14 +187,14 @@
     Value::Array(kinds.collect())
 }
 
-async fn table(desk: &Desk, name: &str, query: Option<&str>) -> Reply {
+async fn table(handle: &Handle, name: &str, query: Option<&str>) -> Reply {
     let about = query.and_then(|query| query.strip_prefix("about="));
     let about: Option<SubmissionId> = about.and_then(|id| id.parse().ok());
     match name {
-        "services" => json_reply(200, &services(desk)),
-        "changes" => history(desk).await,
+        "services" => json_reply(200, &services(handle)),
+        "changes" => history(handle).await,
         name if TABLES.contains(&name) => {
-            let rows = desk.rows(name, about).await;
+            let rows = handle.rows(name, about).await;
             json_reply(200, &merge(&rows))
         }
         _ => refused(
