Drop a list that the property test never read

Cause: found on reading: cancelled ids were collected and used by nobody. Change: the list is gone; assertions stay. Conclusion: no check changed.

--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -35,7 +35,6 @@
 struct Run {
     fleet: FakeFleet,
     once: Vec<SubmissionId>,
-    cancelled: Vec<SubmissionId>,
     runs: u64,
 }
 
@@ -108,7 +107,6 @@
 
     fn cancel(&mut self, which: u8) {
         if let Some(id) = self.chosen(which) {
-            self.cancelled.push(id);
             self.fleet.cancel(id);
         }
     }
@@ -143,7 +141,6 @@
     let mut run = Run {
         fleet: FakeFleet::new(MEMBERS, case),
         once: Vec::new(),
-        cancelled: Vec::new(),
         runs: 1,
     };
     for happening in happenings(case) {
