--- /dev/null
+++ b/src/ephemeral/agent.rs
@@ -0,0 +1,239 @@
+//! The loop beside a worker: feeds the gate and carries out what it asks for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+use crate::ephemeral::gate::{Gate, GateAction};
+use crate::ephemeral::job::RunId;
+use crate::ephemeral::limits::Limits;
+use crate::ephemeral::message::{ProcessId, ToEntry, ToGate};
+use crate::ephemeral::session::{SessionEvent, SessionId, Sessions};
+use crate::ephemeral::worker::{
+    HoldCall, HoldReply, OrderError, OrderedWorker, StartAnswer, WorkerReport,
+};
+use crate::time::{Moment, Timer, micros};
+
+/// How often the gate is told that time has passed.
+const TICK: Duration = Duration::from_millis(10);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before the worker is asked again after it did not answer a hold.
+const HOLD_PAUSE: Duration = Duration::from_millis(20);
+
+/// What an agent is made of.
+pub struct AgentParts {
+    /// The process.
+    pub me: ProcessId,
+    /// Spans of sessions and leases.
+    pub limits: Limits,
+    /// The worker.
+    pub worker: Arc<dyn OrderedWorker>,
+    /// Timer service.
+    pub timer: Timer,
+    /// Where events are logged.
+    pub log: Logger,
+}
+
+enum Event {
+    Accepted(TcpStream),
+    Session(SessionEvent<ToGate>),
+    Report(Box<WorkerReport>),
+    Left(String),
+    Started(RunId, Result<StartAnswer, OrderError>),
+    Stopped(RunId, Result<(), OrderError>),
+    Held(Moment, HoldCall, Result<HoldReply, OrderError>),
+    Leave,
+}
+
+/// Handle on an agent for the side that the worker reports to.
+#[derive(Clone)]
+pub struct AgentHandle {
+    events: UnboundedSender<Event>,
+}
+
+impl AgentHandle {
+    /// The worker reports itself.
+    pub fn report(&self, report: WorkerReport) {
+        let _ = self.events.send(Event::Report(Box::new(report)));
+    }
+
+    /// The worker with this id says that it ends.
+    pub fn left(&self, id: &str) {
+        let _ = self.events.send(Event::Left(id.to_string()));
+    }
+
+    /// Takes no more work, and ends once what runs is over.
+    pub fn leave(&self) {
+        let _ = self.events.send(Event::Leave);
+    }
+}
+
+/// An agent.
+pub struct Agent {
+    parts: AgentParts,
+    gate: Gate,
+    sessions: Sessions<ToEntry, ToGate>,
+    tx: UnboundedSender<Event>,
+    rx: UnboundedReceiver<Event>,
+    leaving: bool,
+}
+
+impl Agent {
+    /// An agent that takes sessions on `listener`, and the handle for the side
+    /// that its worker reports to.
+    pub fn new(parts: AgentParts, listener: TcpListener) -> (Agent, AgentHandle) {
+        let (tx, rx) = unbounded_channel();
+        let (session_tx, mut session_rx) = unbounded_channel();
+        let forward = tx.clone();
+        tokio::spawn(async move {
+            while let Some(event) = session_rx.recv().await {
+                if forward.send(Event::Session(event)).is_err() {
+                    break;
+                }
+            }
+        });
+        tokio::spawn(accept(
+            listener,
+            tx.clone(),
+            parts.timer.clone(),
+            parts.log.clone(),
+        ));
+        let agent = Agent {
+            gate: Gate::new(parts.me.clone(), parts.limits, parts.log.clone()),
+            sessions: Sessions::new(parts.timer.clone(), session_tx),
+            tx: tx.clone(),
+            rx,
+            leaving: false,
+            parts,
+        };
+        (agent, AgentHandle { events: tx })
+    }
+
+    /// Runs until it was asked to leave and nothing runs any more.
+    pub async fn run(mut self) {
+        let mut ticks = self.parts.timer.every(TICK);
+        loop {
+            let event = tokio::select! {
+                event = self.rx.recv() => event,
+                tick = ticks.recv() => tick.and(None),
+            };
+            let now = self.parts.timer.now();
+            if let Some(event) = event {
+                self.handle(now, event);
+            }
+            while let Ok(event) = self.rx.try_recv() {
+                self.handle(now, event);
+            }
+            self.gate.tick(now);
+            self.act(now);
+            if self.leaving && self.gate.idle() {
+                break;
+            }
+        }
+        // The last frames leave before the sockets close.
+        self.parts.timer.sleep(self.parts.limits.beat).await;
+    }
+
+    fn handle(&mut self, now: Moment, event: Event) {
+        match event {
+            Event::Accepted(stream) => {
+                self.sessions.open(stream);
+            }
+            Event::Session(SessionEvent::Frame { session, frame }) => {
+                let age_us = self.sessions.age_us(now, session, frame.sent_us);
+                if age_us > micros(self.parts.limits.frame_age) {
+                    warn!(self.parts.log, "frame came late"; "session" => session.0,
+                        "age_us" => age_us);
+                    self.lose(session);
+                    return;
+                }
+                if !self.sessions.is_open(session) {
+                    return;
+                }
+                for message in frame.messages {
+                    self.gate.message(now, session, message);
+                }
+                self.gate.heard(now, session);
+            }
+            Event::Session(SessionEvent::Closed(session)) => self.lose(session),
+            Event::Report(report) => self.gate.worker_report(now, *report),
+            Event::Left(id) => self.gate.worker_left(now, &id),
+            Event::Started(run, answer) => self.gate.start_answered(now, run, answer),
+            Event::Stopped(run, answer) => self.gate.stop_answered(now, run, answer),
+            Event::Held(sent, call, answer) => self.gate.hold_answered(now, sent, &call, answer),
+            Event::Leave => {
+                info!(self.parts.log, "agent is leaving"; "idle" => self.gate.idle());
+                self.leaving = true;
+                self.gate.leave(now);
+            }
+        }
+    }
+
+    fn lose(&mut self, session: SessionId) {
+        self.sessions.close(session);
+        self.gate.session_closed(session);
+    }
+
+    fn act(&mut self, now: Moment) {
+        for action in self.gate.take_actions(now) {
+            self.carry_out(now, action);
+        }
+        for session in self.sessions.flush() {
+            warn!(self.parts.log, "entry does not keep up"; "session" => session.0);
+            self.lose(session);
+        }
+    }
+
+    fn carry_out(&mut self, now: Moment, action: GateAction) {
+        let tx = self.tx.clone();
+        match action {
+            GateAction::Send { session, message } => self.sessions.send(session, message),
+            GateAction::Close(session) => self.lose(session),
+            GateAction::Aim(addr) => self.parts.worker.aim(&addr),
+            GateAction::Start(call) => {
+                let run = call.run;
+                let answer = self.parts.worker.start(call);
+                tokio::spawn(async move {
+                    let _ = tx.send(Event::Started(run, answer.await));
+                });
+            }
+            GateAction::Stop { worker, run } => {
+                let answer = self.parts.worker.stop(worker, run);
+                tokio::spawn(async move {
+                    let _ = tx.send(Event::Stopped(run, answer.await));
+                });
+            }
+            GateAction::Hold(call) => {
+                let answer = self.parts.worker.hold(call.clone());
+                let timer = self.parts.timer.clone();
+                tokio::spawn(async move {
+                    let answer = answer.await;
+                    if answer.is_err() {
+                        timer.sleep(HOLD_PAUSE).await;
+                    }
+                    let _ = tx.send(Event::Held(now, call, answer));
+                });
+            }
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, tx: UnboundedSender<Event>, timer: Timer, log: Logger) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if tx.send(Event::Accepted(stream)).is_err() {
+                    return;
+                }
+            }
+            Err(err) => {
+                warn!(log, "accept"; "error" => %err);
+                timer.sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ephemeral/directory.rs
@@ -0,0 +1,213 @@
+//! How processes find one another: records under a lease in the store.
+//!
+//! Each gate keeps one record with its address. The store may lose it, when a
+//! lease runs out during an outage or by revocation, without telling anyone; so
+//! a gate reads its record back and writes it anew. Entries watch the records.
+//! A missing record never ends a session that is alive.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use slog::{Logger, debug, info, warn};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::ephemeral::message::ProcessId;
+use crate::store::{Expect, LeaseId, Store, StoreEntry, StoreError, StoreReply, StoreRequest};
+use crate::time::Timer;
+
+/// Prefix of the records of gates.
+pub const GATE_PREFIX: &str = "winghold/gates/";
+/// Lease of a record: longer than most restarts of a store, and short enough
+/// that entries stop dialing a process that is gone for good.
+const RECORD_LEASE: Duration = Duration::from_secs(10);
+/// Pause between two renewals, each with a look at the record; a record that
+/// lapsed is back within it.
+const RENEWAL: Duration = Duration::from_millis(1_500);
+/// Wait of a watch for a change.
+const WATCH: Duration = Duration::from_secs(10);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Record of a gate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GateRecord {
+    /// The gate.
+    pub gate: ProcessId,
+    /// Where entries reach it.
+    pub addr: SocketAddr,
+}
+
+impl GateRecord {
+    fn key(&self) -> String {
+        format!("{GATE_PREFIX}{}", self.gate.name)
+    }
+}
+
+/// Notes once when a dependency is lost, and once when it is back.
+struct Reachable<'a> {
+    log: &'a Logger,
+    what: &'static str,
+    up: bool,
+}
+
+impl Reachable<'_> {
+    fn note<T>(&mut self, result: &Result<T, StoreError>) {
+        let up = result.is_ok();
+        if up == self.up {
+            return;
+        }
+        self.up = up;
+        match result {
+            Ok(_) => info!(self.log, "store regained"; "for" => self.what),
+            Err(err) => warn!(self.log, "store lost"; "for" => self.what, "error" => %err),
+        }
+    }
+}
+
+/// Keeps the record of a gate in the store, for as long as it is polled.
+pub async fn publish(store: Arc<dyn Store>, timer: Timer, record: GateRecord, log: Logger) {
+    let mut reachable = Reachable {
+        log: &log,
+        what: "record",
+        up: true,
+    };
+    let mut lease = None;
+    loop {
+        let kept = keep(&*store, &record, &mut lease, &log).await;
+        reachable.note(&kept);
+        timer
+            .sleep(if kept.is_ok() { RENEWAL } else { PAUSE })
+            .await;
+    }
+}
+
+/// Renews the lease and writes the record if it is not there.
+async fn keep(
+    store: &dyn Store,
+    record: &GateRecord,
+    lease: &mut Option<LeaseId>,
+    log: &Logger,
+) -> Result<(), StoreError> {
+    if let Some(id) = *lease
+        && store.call(StoreRequest::Renew { lease: id }).await? == StoreReply::LeaseGone
+    {
+        info!(log, "lease of the record ran out"; "lease" => id.0);
+        *lease = None;
+    }
+    let id = match *lease {
+        Some(id) => id,
+        None => grant(store).await?,
+    };
+    *lease = Some(id);
+    let current = read(store, &record.key()).await?;
+    let wanted = encode(record);
+    if current.as_ref().is_some_and(|entry| entry.value == wanted) {
+        return Ok(());
+    }
+    let put = StoreRequest::Put {
+        key: record.key(),
+        value: wanted,
+        expect: current.map_or(Expect::Absent, |entry| Expect::Revision(entry.revision)),
+        lease: Some(id),
+    };
+    match store.call(put).await? {
+        StoreReply::Written { revision } => {
+            info!(log, "record written"; "key" => record.key(), "revision" => revision);
+            Ok(())
+        }
+        StoreReply::LeaseGone => {
+            *lease = None;
+            Err(StoreError::Protocol)
+        }
+        _ => Err(StoreError::Protocol),
+    }
+}
+
+async fn grant(store: &dyn Store) -> Result<LeaseId, StoreError> {
+    let ttl_ms = RECORD_LEASE.as_millis() as u64;
+    match store.call(StoreRequest::Grant { ttl_ms }).await? {
+        StoreReply::Lease { lease } => Ok(lease),
+        _ => Err(StoreError::Protocol),
+    }
+}
+
+async fn read(store: &dyn Store, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+    let prefix = key.to_string();
+    match store.call(StoreRequest::Get { prefix }).await? {
+        StoreReply::Entries { entries, .. } => {
+            Ok(entries.into_iter().find(|entry| entry.key == key))
+        }
+        _ => Err(StoreError::Protocol),
+    }
+}
+
+fn encode(record: &GateRecord) -> Bytes {
+    serde_json::to_vec(record).map_or_else(|_| Bytes::new(), Bytes::from)
+}
+
+/// Entries under a prefix, read anew whenever one of them changes.
+pub async fn follow(
+    store: Arc<dyn Store>,
+    timer: Timer,
+    prefix: &str,
+    what: &'static str,
+    log: Logger,
+    tell: impl Fn(Vec<StoreEntry>) -> bool,
+) {
+    let mut reachable = Reachable {
+        log: &log,
+        what,
+        up: true,
+    };
+    let mut known = None;
+    loop {
+        let req = match known {
+            None => StoreRequest::Get {
+                prefix: prefix.to_string(),
+            },
+            Some(after) => StoreRequest::Watch {
+                prefix: prefix.to_string(),
+                after,
+                wait_ms: WATCH.as_millis() as u64,
+            },
+        };
+        let reply = store.call(req).await;
+        reachable.note(&reply);
+        match reply {
+            Ok(StoreReply::Entries { revision, entries }) => {
+                let changed = known != Some(revision);
+                known = Some(revision);
+                if changed && !tell(entries) {
+                    return;
+                }
+            }
+            Ok(other) => {
+                debug!(log, "watch begins anew"; "for" => what, "reply" => ?other);
+                known = None;
+                timer.sleep(PAUSE).await;
+            }
+            Err(_) => {
+                known = None;
+                timer.sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Follows the records of gates.
+pub async fn follow_gates(
+    store: Arc<dyn Store>,
+    timer: Timer,
+    log: Logger,
+    records: UnboundedSender<Vec<GateRecord>>,
+) {
+    let tell = |entries: Vec<StoreEntry>| {
+        let parse = |entry: &StoreEntry| serde_json::from_slice(&entry.value).ok();
+        let found: Vec<GateRecord> = entries.iter().filter_map(parse).collect();
+        records.send(found).is_ok()
+    };
+    follow(store, timer, GATE_PREFIX, "gates", log.clone(), tell).await;
+}
--- /dev/null
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -0,0 +1,200 @@
+//! Gates coming, going and silent, as the dispatcher sees them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+
+use super::{DispatchAction, Dispatcher};
+use crate::code::{Effect, ResultCode};
+use crate::ephemeral::job::{JobId, RunId};
+use crate::ephemeral::message::{ConfigDocument, OpenRun, ProcessId, ToEntry, ToGate};
+use crate::ephemeral::placement::GateView;
+use crate::ephemeral::session::SessionId;
+use crate::message::Answer;
+use crate::time::{Moment, micros};
+
+/// Pause between two runs that try out a suspect worker.
+pub(super) const PROBE_PAUSE: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    /// A connection to the gate `name` is open: the message that begins the
+    /// session.
+    pub fn connected(&mut self, now: Moment, name: &Arc<str>, session: SessionId) {
+        let open = self.open_runs(name);
+        let gate = self.gates.entry(name.clone());
+        let gate = gate.or_insert_with(|| GateView::new(now.mono_us));
+        gate.begin_session();
+        if let Some(before) = gate.session.take() {
+            self.sessions.remove(&before);
+            self.actions.push(DispatchAction::Close(before));
+        }
+        info!(self.log, "gate connected"; "gate" => &**name, "open_runs" => open.len());
+        self.sessions.insert(session, name.clone());
+        let message = ToGate::Hello {
+            entry: self.me.clone(),
+            config: self.config_version(),
+            open,
+        };
+        self.actions.push(DispatchAction::Send { session, message });
+    }
+
+    fn open_runs(&self, name: &Arc<str>) -> Vec<OpenRun> {
+        let mut open = Vec::new();
+        for job in self.jobs.values() {
+            let here = job.out().filter(|(gate, _)| *gate == name);
+            open.extend(here.map(|(_, run)| OpenRun {
+                run,
+                needs: job.spec.needs,
+                expected_us: job.expected_us,
+            }));
+        }
+        open
+    }
+
+    /// A session ended; the gate has until the silence limit to come back.
+    pub fn disconnected(&mut self, session: SessionId) {
+        let Some(name) = self.sessions.remove(&session) else {
+            return;
+        };
+        info!(self.log, "gate disconnected"; "gate" => &*name);
+        if let Some(gate) = self.gates.get_mut(&name)
+            && gate.session == Some(session)
+        {
+            gate.session = None;
+        }
+    }
+
+    /// Something arrived on a session in good time.
+    pub fn heard(&mut self, now: Moment, session: SessionId) {
+        let gate = self.sessions.get(&session);
+        if let Some(gate) = gate.and_then(|name| self.gates.get_mut(name)) {
+            gate.heard_us = now.mono_us;
+        }
+    }
+
+    /// A message came from a gate.
+    pub fn message(&mut self, now: Moment, session: SessionId, message: ToEntry) {
+        let Some(name) = self.sessions.get(&session).cloned() else {
+            return;
+        };
+        match message {
+            ToEntry::Hello { gate, config } => self.hello(&name, session, &gate, config),
+            ToEntry::Load(load) => {
+                if let Some(gate) = self.gates.get_mut(&name) {
+                    gate.observe(load);
+                }
+                self.dirty |= !self.backlog.is_empty();
+            }
+            ToEntry::Began { run } => self.began(run),
+            ToEntry::Ended { run, end, run_us } => self.ended(now, &name, run, end, run_us),
+            ToEntry::Config(document) => self.learn(document),
+        }
+    }
+
+    fn hello(&mut self, name: &Arc<str>, session: SessionId, gate: &ProcessId, config: u64) {
+        let Some(view) = self.gates.get_mut(name) else {
+            return;
+        };
+        view.session = Some(session);
+        if view.incarnation != gate.incarnation {
+            info!(self.log, "gate is new"; "gate" => &**name, "incarnation" => gate.incarnation);
+            view.incarnation = gate.incarnation;
+        }
+        if let Some(document) = &self.config
+            && document.version > config
+        {
+            let message = ToGate::Config(document.clone());
+            self.actions.push(DispatchAction::Send { session, message });
+        }
+    }
+
+    fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |document| document.version)
+    }
+
+    /// A gate knows a configuration: it is newer if its version is higher.
+    fn learn(&mut self, document: ConfigDocument) {
+        if document.version <= self.config_version() {
+            return;
+        }
+        self.actions.push(DispatchAction::Learned(document));
+    }
+
+    /// This configuration is in force here; passes it on to gates.
+    pub fn config_in_force(&mut self, document: ConfigDocument) {
+        if document.version <= self.config_version() {
+            return;
+        }
+        let open = self.gates.values().filter_map(|gate| gate.session);
+        let sends = open.map(|session| DispatchAction::Send {
+            session,
+            message: ToGate::Config(document.clone()),
+        });
+        self.actions.extend(sends);
+        self.config = Some(document);
+    }
+
+    /// Ends jobs with runs at gates that have been silent for too long: those
+    /// runs may go on for a while, so their outcome is unknown.
+    pub(super) fn drop_silent_gates(&mut self, now: Moment) {
+        let silence_us = micros(self.limits.silence);
+        let silent: Vec<Arc<str>> = self
+            .gates
+            .iter()
+            .filter(|(_, gate)| now.mono_us > gate.heard_us + silence_us)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in silent {
+            self.drop_gate(now, &name);
+        }
+    }
+
+    fn drop_gate(&mut self, now: Moment, name: &Arc<str>) {
+        let Some(gate) = self.gates.remove(name) else {
+            return;
+        };
+        info!(self.log, "gate given up"; "gate" => &**name,
+            "silent_us" => now.mono_us.saturating_sub(gate.heard_us));
+        let sessions: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, of)| *of == name)
+            .map(|(session, _)| *session)
+            .collect();
+        for session in sessions {
+            self.sessions.remove(&session);
+            self.actions.push(DispatchAction::Close(session));
+        }
+        let lost: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.out().any(|(gate, _)| gate == name))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            let answer = Answer::failure(
+                ResultCode::OutcomeUnknown,
+                Effect::Unknown,
+                "a worker's gate is gone",
+            );
+            self.finish(now, id, answer);
+        }
+    }
+
+    /// Sends a heartbeat on every session.
+    pub fn beat(&mut self) {
+        let sessions = self.sessions.keys();
+        let beats = sessions.map(|session| DispatchAction::Send {
+            session: *session,
+            message: ToGate::Beat,
+        });
+        self.actions.extend(beats);
+    }
+
+    pub(super) fn run_left_gate(&mut self, name: &Arc<str>, run: RunId) {
+        if let Some(gate) = self.gates.get_mut(name) {
+            gate.over(run);
+        }
+    }
+}
--- /dev/null
+++ b/src/ephemeral/dispatcher/job.rs
@@ -0,0 +1,152 @@
+//! A job in the memory of its entry.
+
+use std::sync::Arc;
+
+use crate::ephemeral::dispatcher::WaiterId;
+use crate::ephemeral::job::{JobSpec, RunId};
+use crate::ephemeral::routes::Route;
+
+/// Times its objective within which a late answer still helps (the platform's
+/// pages: up to three times counts as late).
+const LATE_FACTOR: u64 = 3;
+/// Share of the expected run time kept back when a start's patience is set;
+/// run times vary about their mean.
+const RUN_MARGIN: f64 = 1.1;
+/// Time for orders and answers on the way, in microseconds.
+const OVERHEAD_US: u64 = 10_000;
+
+/// How far a task is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum TaskState {
+    /// At no gate.
+    Waiting,
+    /// At a gate.
+    At {
+        /// Name of the gate.
+        gate: Arc<str>,
+        /// Number of the run.
+        run: u32,
+    },
+    /// Finished.
+    Done,
+}
+
+#[derive(Debug)]
+pub(super) struct Task {
+    pub state: TaskState,
+    /// Number of its last run.
+    pub runs: u32,
+    /// Runs that ended as failures.
+    pub failures: u32,
+    /// Gates where it did not end well.
+    pub avoid: Vec<Arc<str>>,
+}
+
+#[derive(Debug)]
+pub(super) struct Job {
+    pub spec: JobSpec,
+    pub route: Arc<Route>,
+    pub waiters: Vec<WaiterId>,
+    pub arrived_us: u64,
+    /// Run time of its longest task that is expected, in microseconds.
+    pub expected_us: u64,
+    /// When its caller stops waiting.
+    pub deadline_us: u64,
+    pub tasks: Vec<Task>,
+    /// Whether a worker may have begun one of its tasks.
+    pub may_have_run: bool,
+    /// Why it is being withdrawn; it is answered once its runs are over.
+    pub withdrawn: Option<&'static str>,
+}
+
+impl Job {
+    pub fn new(
+        spec: JobSpec,
+        route: Arc<Route>,
+        arrived_us: u64,
+        wait_us: u64,
+        expected_us: u64,
+        first_run: u32,
+    ) -> Job {
+        let task = || Task {
+            state: TaskState::Waiting,
+            runs: first_run,
+            failures: 0,
+            avoid: Vec::new(),
+        };
+        Job {
+            tasks: (0..spec.count).map(|_| task()).collect(),
+            deadline_us: arrived_us + wait_us.min(route.timeout_us),
+            spec,
+            route,
+            waiters: Vec::new(),
+            arrived_us,
+            expected_us,
+            may_have_run: false,
+            withdrawn: None,
+        }
+    }
+
+    /// Length of its latency objective, in microseconds.
+    fn objective_us(&self) -> u64 {
+        (self.expected_us as f64 * self.route.stretch) as u64 + self.route.slack_us
+    }
+
+    /// Latest time to begin a task so that the objective is met.
+    pub fn latest_begin_us(&self) -> u64 {
+        let run_us = (self.expected_us as f64 * RUN_MARGIN) as u64 + OVERHEAD_US;
+        self.arrived_us + self.objective_us().saturating_sub(run_us)
+    }
+
+    /// Latest time to begin a task so that its answer helps at all.
+    pub fn last_begin_us(&self) -> u64 {
+        let late_us = self.arrived_us + self.objective_us() * LATE_FACTOR;
+        let end_us = late_us.min(self.deadline_us);
+        end_us.saturating_sub(self.expected_us + OVERHEAD_US)
+    }
+
+    /// How long a start may wait for room at a gate from `now_us` on.
+    pub fn patience_us(&self, now_us: u64) -> u64 {
+        let until_us = match self.may_have_run {
+            true => self.last_begin_us(),
+            false => self.latest_begin_us(),
+        };
+        until_us.saturating_sub(now_us)
+    }
+
+    /// Tasks that are at no gate.
+    pub fn waiting(&self) -> impl Iterator<Item = u32> {
+        let waiting = |(_, task): &(usize, &Task)| task.state == TaskState::Waiting;
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter(waiting).map(|(index, _)| index as u32)
+    }
+
+    /// Runs that are at gates, and where.
+    pub fn out(&self) -> impl Iterator<Item = (&Arc<str>, RunId)> {
+        let job = self.spec.id;
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter_map(move |(index, task)| match &task.state {
+            TaskState::At { gate, run } => {
+                let index = index as u32;
+                let run = *run;
+                Some((gate, RunId { job, index, run }))
+            }
+            _ => None,
+        })
+    }
+
+    /// Whether nothing of it has run, runs or may still begin.
+    pub fn is_untouched(&self) -> bool {
+        !self.may_have_run && self.out().next().is_none()
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.state == TaskState::Done)
+    }
+
+    /// The task that `run` belongs to, if it is the run that is out.
+    pub fn task_of(&mut self, id: RunId) -> Option<&mut Task> {
+        let task = self.tasks.get_mut(id.index as usize)?;
+        matches!(task.state, TaskState::At { run, .. } if run == id.run).then_some(task)
+    }
+}
--- /dev/null
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -0,0 +1,469 @@
+//! The entry's decisions about the jobs that it took.
+//!
+//! A job is admitted if its tasks are expected to begin in time for its
+//! objective, and refused at once otherwise. Its tasks go to gates; what fails
+//! or does not begin there goes to another gate while that still helps. A job
+//! is answered when all its tasks are done, or when it is given up: with a
+//! refusal if nothing of it can have run, with a failure or an unknown outcome
+//! otherwise. Whatever of it is still out is stopped then.
+
+mod gates;
+mod job;
+mod progress;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, info};
+
+use crate::code::{Effect, ResultCode};
+use crate::ephemeral::job::{JobId, JobSpec, RunId};
+use crate::ephemeral::limits::Limits;
+use crate::ephemeral::message::{ConfigDocument, ProcessId, StartOrder, ToGate};
+use crate::ephemeral::placement::{Choice, GateView, Placer, Want};
+use crate::ephemeral::routes::Route;
+use crate::ephemeral::session::SessionId;
+use crate::message::Answer;
+use crate::run_times::RunTimes;
+use crate::time::{Moment, micros};
+use job::{Job, TaskState};
+
+/// How long answers are kept for callers that ask again.
+const KEEP_ANSWERS: Duration = Duration::from_secs(10);
+/// When a refused caller should come back: about the time in which a full
+/// worker frees its room.
+const COME_BACK_MS: u64 = 500;
+/// When a caller should come back that no worker could be found for.
+const COME_BACK_LATER_MS: u64 = 1_000;
+/// Run time expected where neither the caller nor past runs tell, in microseconds.
+const UNKNOWN_RUN_US: u64 = 200_000;
+/// Weight of the caller's own estimate against the mean of past runs; estimates
+/// of the sites are off by 40%, run times vary by 40%.
+const ESTIMATE_WEIGHT: f64 = 0.5;
+/// Step of the run number after a worker rejected it as too low.
+const RUN_STEP: u32 = 16;
+
+/// Names one caller that waits for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WaiterId(pub u64);
+
+/// What a dispatcher asks of the process around it.
+#[derive(Clone, Debug)]
+pub enum DispatchAction {
+    /// Send a message to a gate.
+    Send {
+        /// The session.
+        session: SessionId,
+        /// What.
+        message: ToGate,
+    },
+    /// Close a session.
+    Close(SessionId),
+    /// Answer a caller.
+    Reply {
+        /// The caller.
+        waiter: WaiterId,
+        /// Its answer.
+        answer: Answer,
+    },
+    /// A gate knows a newer configuration.
+    Learned(ConfigDocument),
+}
+
+#[derive(Debug)]
+struct Past {
+    answer: Option<Answer>,
+    next_run: u32,
+}
+
+/// The jobs of one entry.
+#[derive(Debug)]
+pub struct Dispatcher {
+    me: ProcessId,
+    limits: Limits,
+    log: Logger,
+    gates: BTreeMap<Arc<str>, GateView>,
+    sessions: HashMap<SessionId, Arc<str>>,
+    jobs: HashMap<JobId, Job>,
+    backlog: BTreeSet<(u64, JobId)>,
+    deadlines: BTreeSet<(u64, JobId)>,
+    past: HashMap<JobId, Past>,
+    past_order: VecDeque<(u64, JobId)>,
+    probes: HashMap<Arc<str>, u64>,
+    placer: Placer,
+    run_times: RunTimes,
+    config: Option<ConfigDocument>,
+    actions: Vec<DispatchAction>,
+    dirty: bool,
+}
+
+impl Dispatcher {
+    /// A dispatcher without gates; placement noise comes from `me`'s incarnation.
+    pub fn new(me: ProcessId, limits: Limits, log: Logger) -> Dispatcher {
+        Dispatcher {
+            placer: Placer::new(me.incarnation),
+            me,
+            limits,
+            log,
+            gates: BTreeMap::new(),
+            sessions: HashMap::new(),
+            jobs: HashMap::new(),
+            backlog: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            past: HashMap::new(),
+            past_order: VecDeque::new(),
+            probes: HashMap::new(),
+            run_times: RunTimes::default(),
+            config: None,
+            actions: Vec::new(),
+            dirty: false,
+        }
+    }
+
+    /// What is to be done since the last call.
+    pub fn take_actions(&mut self, now: Moment) -> Vec<DispatchAction> {
+        if self.dirty {
+            self.dirty = false;
+            self.place_backlog(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Whether no job is open.
+    pub fn idle(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Number of open jobs.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Number of gates that take work.
+    pub fn open_gates(&self) -> usize {
+        self.gates.values().filter(|gate| gate.is_open()).count()
+    }
+
+    /// A caller sent a job and waits `wait_us` for its answer.
+    pub fn submit(
+        &mut self,
+        now: Moment,
+        waiter: WaiterId,
+        spec: JobSpec,
+        route: Arc<Route>,
+        wait_us: u64,
+    ) {
+        if let Some(job) = self.jobs.get_mut(&spec.id) {
+            info!(self.log, "job joined"; "job" => %spec.id);
+            job.waiters.push(waiter);
+            return;
+        }
+        let past = self.past.get(&spec.id);
+        if let Some(answer) = past.and_then(|past| past.answer.clone()) {
+            info!(self.log, "job answered again"; "job" => %spec.id, "code" => answer.code.name());
+            self.actions.push(DispatchAction::Reply { waiter, answer });
+            return;
+        }
+        let first_run = past.map_or(0, |past| past.next_run);
+        let expected_us = self.expected_us(&spec, &route);
+        let id = spec.id;
+        let mut job = Job::new(spec, route, now.mono_us, wait_us, expected_us, first_run);
+        job.waiters.push(waiter);
+        if let Err(answer) = self.admit(now, &job) {
+            self.log_end(now, &job, &answer);
+            self.actions.push(DispatchAction::Reply { waiter, answer });
+            return;
+        }
+        self.deadlines.insert((job.deadline_us, id));
+        self.jobs.insert(id, job);
+        self.place(now, id);
+    }
+
+    fn expected_us(&self, spec: &JobSpec, route: &Route) -> u64 {
+        let mean_us = self.run_times.mean_us(&route.service, &route.name);
+        match (spec.estimate_us, mean_us) {
+            (0, None) => UNKNOWN_RUN_US,
+            (0, Some(mean_us)) => mean_us,
+            (estimate_us, None) => estimate_us,
+            (estimate_us, Some(mean_us)) => {
+                let blend =
+                    estimate_us as f64 * ESTIMATE_WEIGHT + mean_us as f64 * (1.0 - ESTIMATE_WEIGHT);
+                blend as u64
+            }
+        }
+    }
+
+    /// Whether a job can be served in time.
+    fn admit(&mut self, now: Moment, job: &Job) -> Result<(), Answer> {
+        let want = want(job);
+        let fitting = |gate: &GateView| {
+            let worker = gate.load.worker.as_ref();
+            worker.is_some_and(|worker| want.fits(worker))
+        };
+        if !self.gates.values().any(fitting) {
+            let known = self.gates.values().any(GateView::is_open);
+            return Err(match known {
+                true => failed(ResultCode::CannotRun, "no worker could ever run it"),
+                false => refused("no worker is known", COME_BACK_LATER_MS),
+            });
+        }
+        let open = self.gates.iter().filter(|(_, gate)| gate.is_open());
+        let Some(choice) = self.placer.choose(open, &want) else {
+            return Err(refused("no worker takes it now", COME_BACK_LATER_MS));
+        };
+        if choice.wait_us > job.patience_us(now.mono_us) {
+            let text = format!("no room within {} us", choice.wait_us);
+            return Err(refused(&text, COME_BACK_MS));
+        }
+        Ok(())
+    }
+
+    /// Sends the tasks of a job that are at no gate.
+    fn place(&mut self, now: Moment, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let waiting: Vec<u32> = job.waiting().collect();
+        let mut left = false;
+        for index in waiting {
+            left |= !self.place_task(now, id, index);
+        }
+        if let Some(job) = self.jobs.get(&id) {
+            let key = (job.latest_begin_us(), id);
+            match left {
+                true => self.backlog.insert(key),
+                false => self.backlog.remove(&key),
+            };
+        }
+    }
+
+    /// Sends one task to the gate where it would end first; `false` if no gate
+    /// would begin it in time.
+    fn place_task(&mut self, now: Moment, id: JobId, index: u32) -> bool {
+        let Some(choice) = self.choose(now, id, index) else {
+            return false;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return true;
+        };
+        let patience_us = job.patience_us(now.mono_us);
+        if choice.wait_us > patience_us {
+            return false;
+        }
+        let task = &mut job.tasks[index as usize];
+        task.runs += 1;
+        let run = RunId {
+            job: id,
+            index,
+            run: task.runs,
+        };
+        task.state = TaskState::At {
+            gate: choice.gate.clone(),
+            run: task.runs,
+        };
+        let Some(gate) = self.gates.get_mut(&choice.gate) else {
+            return false;
+        };
+        let Some(session) = gate.session else {
+            return false;
+        };
+        let order = StartOrder {
+            run,
+            payload: job.spec.payload.clone(),
+            needs: job.spec.needs,
+            priority: job.route.priority,
+            patience_us,
+            expected_us: job.expected_us,
+            number: gate.count(run, job.spec.needs),
+        };
+        slog::debug!(self.log, "task sent"; "run" => %run, "gate" => &*choice.gate,
+            "wait_us" => choice.wait_us, "run_us" => choice.run_us,
+            "load_age_us" => now.mono_us.saturating_sub(gate.heard_us),
+            "patience_us" => patience_us);
+        let message = ToGate::Start(Box::new(order));
+        self.actions.push(DispatchAction::Send { session, message });
+        true
+    }
+
+    fn choose(&mut self, now: Moment, id: JobId, index: u32) -> Option<Choice> {
+        let job = self.jobs.get(&id)?;
+        let task = job.tasks.get(index as usize)?;
+        let most = job.spec.constraints.most_on_worker as usize;
+        let crowded = |name: &Arc<str>| {
+            most > 0 && job.out().filter(|(gate, _)| *gate == name).count() >= most
+        };
+        let suspects = self.gates.values().filter(|gate| gate.load.suspect).count();
+        // Where most workers fail, the tasks are to blame.
+        let judges = suspects * 2 <= self.gates.len();
+        let probes = &self.probes;
+        let due = |name: &Arc<str>| probes.get(name).is_none_or(|at_us| *at_us <= now.mono_us);
+        let allowed = |(name, gate): &(&Arc<str>, &GateView)| {
+            gate.is_open()
+                && (!gate.load.suspect || !judges || due(name))
+                && !crowded(name)
+                && !task.avoid.contains(name)
+        };
+        let open = self.gates.iter().filter(allowed);
+        let choice = self.placer.choose(open, &want(job))?;
+        let chosen = self.gates.get(&choice.gate)?;
+        if chosen.load.suspect {
+            let next_us = now.mono_us + micros(gates::PROBE_PAUSE);
+            self.probes.insert(choice.gate.clone(), next_us);
+        }
+        Some(choice)
+    }
+
+    fn place_backlog(&mut self, now: Moment) {
+        let waiting: Vec<JobId> = self.backlog.iter().map(|(_, id)| *id).collect();
+        for id in waiting {
+            self.place(now, id);
+        }
+    }
+
+    /// Time has passed: gives up what can no longer be helped.
+    pub fn tick(&mut self, now: Moment) {
+        self.end_overdue(now);
+        self.end_hopeless(now);
+        self.drop_silent_gates(now);
+        self.forget_past(now);
+        self.dirty |= !self.backlog.is_empty();
+    }
+
+    fn end_overdue(&mut self, now: Moment) {
+        while let Some((deadline_us, id)) = self.deadlines.first().copied() {
+            if deadline_us > now.mono_us {
+                break;
+            }
+            let answer = match self.jobs.get(&id).is_some_and(|job| job.may_have_run) {
+                true => Answer::failure(
+                    ResultCode::DeadlinePassed,
+                    Effect::Unknown,
+                    "its deadline passed",
+                ),
+                false => self.overdue_answer(id),
+            };
+            self.finish(now, id, answer);
+            self.deadlines.remove(&(deadline_us, id));
+        }
+    }
+
+    /// Ends jobs whose waiting tasks cannot begin in time any more.
+    fn end_hopeless(&mut self, now: Moment) {
+        let waiting: Vec<JobId> = self.backlog.iter().map(|(_, id)| *id).collect();
+        for id in waiting {
+            let late = self.jobs.get(&id).is_some_and(|job| {
+                job.patience_us(now.mono_us) == 0 && job.waiting().next().is_some()
+            });
+            if late {
+                self.give_up(now, id, "no room in time");
+            }
+        }
+    }
+
+    fn overdue_answer(&self, id: JobId) -> Answer {
+        let job = self.jobs.get(&id);
+        if job.is_none_or(|job| job.is_untouched()) {
+            return refused("its deadline passed before it began", COME_BACK_MS);
+        }
+        let why = "its deadline passed";
+        Answer::failure(ResultCode::DeadlinePassed, Effect::Unknown, why)
+    }
+
+    /// Ends a job that cannot be served in time. A refusal must be true, so
+    /// what is out is withdrawn first unless something has run already.
+    fn give_up(&mut self, now: Moment, id: JobId, why: &'static str) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.may_have_run {
+            self.finish(now, id, failed(ResultCode::TaskFailed, why));
+            return;
+        }
+        if job.is_untouched() {
+            self.finish(now, id, refused(why, COME_BACK_MS));
+            return;
+        }
+        if job.withdrawn.replace(why).is_none() {
+            self.backlog.remove(&(job.latest_begin_us(), id));
+            self.stop_runs(id);
+        }
+    }
+
+    fn stop_runs(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        for (gate, run) in job.out() {
+            let session = self.gates.get(gate).and_then(|gate| gate.session);
+            if let Some(session) = session {
+                let message = ToGate::Stop { run };
+                self.actions.push(DispatchAction::Send { session, message });
+            }
+        }
+    }
+
+    /// Answers a job, stops what is out, and forgets it.
+    fn finish(&mut self, now: Moment, id: JobId, answer: Answer) {
+        self.stop_runs(id);
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.backlog.remove(&(job.latest_begin_us(), id));
+        self.deadlines.remove(&(job.deadline_us, id));
+        self.log_end(now, &job, &answer);
+        let runs = job.tasks.iter().map(|task| task.runs).max();
+        for waiter in job.waiters {
+            let answer = answer.clone();
+            self.actions.push(DispatchAction::Reply { waiter, answer });
+        }
+        let keep = matches!(answer.code, ResultCode::Complete | ResultCode::TaskFailed);
+        let past = Past {
+            answer: keep.then_some(answer),
+            next_run: runs.unwrap_or(0) + RUN_STEP,
+        };
+        self.past.insert(id, past);
+        self.past_order.push_back((now.mono_us, id));
+    }
+
+    fn log_end(&self, now: Moment, job: &Job, answer: &Answer) {
+        info!(self.log, "job over"; "job" => %job.spec.id, "route" => &*job.route.name,
+            "code" => answer.code.name(), "effect" => ?answer.effect, "why" => &answer.message,
+            "took_us" => now.mono_us.saturating_sub(job.arrived_us),
+            "expected_us" => job.expected_us, "tasks" => job.spec.count,
+            "runs" => job.tasks.iter().map(|task| task.runs).max(),
+            "objective_us" => job.latest_begin_us().saturating_sub(job.arrived_us));
+    }
+
+    fn forget_past(&mut self, now: Moment) {
+        let oldest_us = now.mono_us.saturating_sub(micros(KEEP_ANSWERS));
+        while let Some((at_us, id)) = self.past_order.front().copied() {
+            if at_us >= oldest_us {
+                break;
+            }
+            self.past_order.pop_front();
+            self.past.remove(&id);
+        }
+    }
+}
+
+fn want(job: &Job) -> Want<'_> {
+    Want {
+        service: &job.route.service,
+        needs: &job.spec.needs,
+        constraints: &job.spec.constraints,
+        expected_us: job.expected_us,
+    }
+}
+
+fn refused(why: &str, come_back_ms: u64) -> Answer {
+    Answer::not_run(ResultCode::Overloaded, why).retry_after(come_back_ms)
+}
+
+fn failed(code: ResultCode, why: &str) -> Answer {
+    let effect = match code {
+        ResultCode::CannotRun => Effect::NotRun,
+        _ => Effect::Unknown,
+    };
+    Answer::failure(code, effect, why)
+}
--- /dev/null
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -0,0 +1,99 @@
+//! What gates report of runs, and callers that leave.
+
+use std::sync::Arc;
+
+use slog::info;
+
+use super::{Dispatcher, WaiterId, failed, refused};
+use crate::code::ResultCode;
+use crate::ephemeral::dispatcher::job::TaskState;
+use crate::ephemeral::job::{JobId, RunId};
+use crate::ephemeral::message::{NotRunReason, RunEnd};
+use crate::message::Answer;
+use crate::time::Moment;
+
+impl Dispatcher {
+    pub(super) fn began(&mut self, run: RunId) {
+        if let Some(job) = self.jobs.get_mut(&run.job) {
+            job.may_have_run = true;
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Moment,
+        gate: &Arc<str>,
+        run: RunId,
+        end: RunEnd,
+        run_us: u64,
+    ) {
+        self.run_left_gate(gate, run);
+        let Some(job) = self.jobs.get_mut(&run.job) else {
+            return;
+        };
+        if !matches!(end, RunEnd::NotRun(_)) {
+            job.may_have_run = true;
+        }
+        let (route, expected_us) = (job.route.clone(), job.expected_us);
+        let Some(task) = job.task_of(run) else {
+            return;
+        };
+        task.state = TaskState::Waiting;
+        match end {
+            RunEnd::Done => {
+                task.state = TaskState::Done;
+                let done = job.all_done();
+                self.run_times.learn(&route.service, &route.name, run_us);
+                if done {
+                    self.finish(now, run.job, Answer::complete(Vec::new()));
+                }
+                return;
+            }
+            RunEnd::Failed => {
+                task.failures += 1;
+                if task.failures >= route.attempts.max(1) {
+                    let answer = failed(ResultCode::TaskFailed, "a task failed too often");
+                    self.finish(now, run.job, answer);
+                    return;
+                }
+            }
+            RunEnd::NotRun(NotRunReason::Rejected) => task.runs += super::RUN_STEP,
+            RunEnd::NotRun(_) | RunEnd::Stopped | RunEnd::Stalled => {}
+        }
+        task.avoid.push(gate.clone());
+        if let Some(why) = job.withdrawn {
+            if job.out().next().is_none() {
+                job.withdrawn = None;
+                self.give_up(now, run.job, why);
+            }
+            return;
+        }
+        info!(self.log, "task goes elsewhere"; "run" => %run, "gate" => &**gate, "end" => ?end,
+            "run_us" => run_us, "expected_us" => expected_us);
+        self.place_again(now, run.job);
+    }
+
+    fn place_again(&mut self, now: Moment, id: JobId) {
+        let late = self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.patience_us(now.mono_us) == 0);
+        if late {
+            self.give_up(now, id, "no time is left to run it elsewhere");
+            return;
+        }
+        self.place(now, id);
+    }
+
+    /// A caller is gone; what runs only for it is stopped.
+    pub fn waiter_gone(&mut self, now: Moment, waiter: WaiterId, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.waiters.retain(|other| *other != waiter);
+        if job.waiters.is_empty() {
+            let answer = refused("its caller left", 0);
+            self.finish(now, id, answer);
+        }
+    }
+}
--- /dev/null
+++ b/src/ephemeral/entry.rs
@@ -0,0 +1,477 @@
+//! The loop of an entry: feeds the dispatcher and carries out what it asks for.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+
+use crate::code::ResultCode;
+use crate::ephemeral::directory::{self, GateRecord};
+use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
+use crate::ephemeral::job::{JobId, JobSpec};
+use crate::ephemeral::limits::Limits;
+use crate::ephemeral::message::{ConfigDocument, ProcessId, ToEntry, ToGate};
+use crate::ephemeral::routes::{Route, RouteTable};
+use crate::ephemeral::session::{SessionEvent, SessionId, Sessions, dial};
+use crate::error::Result;
+use crate::message::Answer;
+use crate::metrics::Metrics;
+use crate::store::{Store, StoreEntry};
+use crate::time::{Moment, Timer, micros};
+
+/// How often the dispatcher is told that time has passed.
+const TICK: Duration = Duration::from_millis(10);
+/// A loop that did not turn for so long was suspended: callers whose requests
+/// were read just after it may have given up meanwhile.
+const SUSPENDED: Duration = Duration::from_millis(300);
+/// How long after a suspension new jobs are refused.
+const WARY: Duration = Duration::from_millis(100);
+/// Pause before a gate is dialed again.
+const REDIAL: Duration = Duration::from_millis(100);
+/// How long a gate without a record is still dialed (the users' letter: two
+/// seconds after the store is back).
+const MISSING: Duration = Duration::from_secs(2);
+/// When a caller should come back to an entry that was suspended.
+const WARY_COME_BACK_MS: u64 = 200;
+
+/// Reads a configuration document.
+pub trait ConfigReader: Send + Sync {
+    /// The routes of a document.
+    fn read(&self, text: &[u8]) -> Result<RouteTable>;
+}
+
+/// What an entry is made of.
+pub struct EntryParts {
+    /// The process.
+    pub me: ProcessId,
+    /// Spans of sessions.
+    pub limits: Limits,
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// Key of the configuration in the store.
+    pub config_key: String,
+    /// Reads configuration documents.
+    pub reader: Arc<dyn ConfigReader>,
+    /// Timer service.
+    pub timer: Timer,
+    /// Where counts go.
+    pub metrics: Metrics,
+    /// Where events are logged.
+    pub log: Logger,
+}
+
+struct Submit {
+    waiter: WaiterId,
+    spec: JobSpec,
+    route: Arc<Route>,
+    wait_us: u64,
+    reply: oneshot::Sender<Answer>,
+}
+
+enum Event {
+    Submit(Box<Submit>),
+    WaiterGone(WaiterId, JobId),
+    Session(SessionEvent<ToEntry>),
+    Dialed(Arc<str>, Option<TcpStream>),
+    Gates(Vec<GateRecord>),
+    Config(ConfigDocument),
+    Leave,
+}
+
+#[derive(Debug, Default)]
+struct View {
+    table: Arc<RouteTable>,
+    gates: usize,
+    jobs: usize,
+    leaving: bool,
+}
+
+/// Handle on an entry for its HTTP side.
+#[derive(Clone)]
+pub struct EntryHandle {
+    events: UnboundedSender<Event>,
+    view: Arc<Mutex<View>>,
+    waiters: Arc<std::sync::atomic::AtomicU64>,
+    /// Timer service.
+    pub timer: Timer,
+    /// Where counts go.
+    pub metrics: Metrics,
+    /// Where events are logged.
+    pub log: Logger,
+}
+
+/// Tells the entry when a caller is gone before its answer.
+struct WaiterGuard {
+    events: UnboundedSender<Event>,
+    waiter: WaiterId,
+    job: JobId,
+    answered: bool,
+}
+
+impl Drop for WaiterGuard {
+    fn drop(&mut self) {
+        if !self.answered {
+            let _ = self.events.send(Event::WaiterGone(self.waiter, self.job));
+        }
+    }
+}
+
+impl EntryHandle {
+    fn with_view<T>(&self, read: impl FnOnce(&View) -> T) -> T {
+        read(&self.view.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Arc<RouteTable> {
+        self.with_view(|view| view.table.clone())
+    }
+
+    /// Whether callers should be sent here.
+    pub fn ready(&self) -> bool {
+        self.with_view(|view| view.table.version > 0 && view.gates > 0 && !view.leaving)
+    }
+
+    /// Whether the entry is stopping.
+    pub fn leaving(&self) -> bool {
+        self.with_view(|view| view.leaving)
+    }
+
+    /// Number of open jobs.
+    pub fn open_jobs(&self) -> usize {
+        self.with_view(|view| view.jobs)
+    }
+
+    /// Takes no place among those that are sent callers any more.
+    pub fn leave(&self) {
+        let _ = self.events.send(Event::Leave);
+    }
+
+    /// Runs a job; the caller is taken as gone if the future is dropped.
+    pub async fn submit(&self, spec: JobSpec, route: Arc<Route>, wait: Duration) -> Answer {
+        let number = self
+            .waiters
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let (reply, answer) = oneshot::channel();
+        let mut guard = WaiterGuard {
+            events: self.events.clone(),
+            waiter: WaiterId(number),
+            job: spec.id,
+            answered: false,
+        };
+        let submit = Submit {
+            waiter: WaiterId(number),
+            spec,
+            route,
+            wait_us: micros(wait),
+            reply,
+        };
+        let _ = self.events.send(Event::Submit(Box::new(submit)));
+        let answer = answer.await;
+        guard.answered = true;
+        answer.unwrap_or_else(|_| Answer::not_run(ResultCode::Stopping, "the entry stopped"))
+    }
+}
+
+struct Dial {
+    addr: SocketAddr,
+    session: Option<SessionId>,
+    dialing: bool,
+    /// Since when it has no record, if so.
+    missing_us: Option<u64>,
+}
+
+/// An entry.
+pub struct Entry {
+    parts: EntryParts,
+    dispatcher: Dispatcher,
+    sessions: Sessions<ToGate, ToEntry>,
+    dials: HashMap<Arc<str>, Dial>,
+    replies: HashMap<WaiterId, oneshot::Sender<Answer>>,
+    view: Arc<Mutex<View>>,
+    tx: UnboundedSender<Event>,
+    rx: UnboundedReceiver<Event>,
+    turned_us: u64,
+    wary_until_us: u64,
+    beat_us: u64,
+}
+
+impl Entry {
+    /// An entry, and the handle for its HTTP side.
+    pub fn new(parts: EntryParts) -> (Entry, EntryHandle) {
+        let (tx, rx) = unbounded_channel();
+        let (session_tx, mut session_rx) = unbounded_channel();
+        let forward = tx.clone();
+        tokio::spawn(async move {
+            while let Some(event) = session_rx.recv().await {
+                if forward.send(Event::Session(event)).is_err() {
+                    break;
+                }
+            }
+        });
+        let view = Arc::new(Mutex::new(View::default()));
+        let handle = EntryHandle {
+            events: tx.clone(),
+            view: view.clone(),
+            waiters: Arc::default(),
+            timer: parts.timer.clone(),
+            metrics: parts.metrics.clone(),
+            log: parts.log.clone(),
+        };
+        let entry = Entry {
+            dispatcher: Dispatcher::new(parts.me.clone(), parts.limits, parts.log.clone()),
+            sessions: Sessions::new(parts.timer.clone(), session_tx),
+            dials: HashMap::new(),
+            replies: HashMap::new(),
+            view,
+            tx,
+            rx,
+            turned_us: parts.timer.now().mono_us,
+            wary_until_us: 0,
+            beat_us: 0,
+            parts,
+        };
+        (entry, handle)
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        self.follow_store();
+        let mut ticks = self.parts.timer.every(TICK);
+        loop {
+            let event = tokio::select! {
+                event = self.rx.recv() => event,
+                tick = ticks.recv() => tick.and(None),
+            };
+            let now = self.parts.timer.now();
+            self.notice_suspension(now);
+            self.dispatcher.tick(now);
+            if let Some(event) = event {
+                self.handle(now, event);
+            }
+            while let Ok(event) = self.rx.try_recv() {
+                self.handle(now, event);
+            }
+            self.beat(now);
+            self.dial_missing(now);
+            self.act(now);
+        }
+    }
+
+    fn follow_store(&self) {
+        let (records_tx, mut records) = unbounded_channel();
+        let parts = &self.parts;
+        let (store, timer) = (parts.store.clone(), parts.timer.clone());
+        let log = parts.log.clone();
+        tokio::spawn(directory::follow_gates(store, timer, log, records_tx));
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            while let Some(found) = records.recv().await {
+                let _ = tx.send(Event::Gates(found));
+            }
+        });
+        let (store, timer) = (parts.store.clone(), parts.timer.clone());
+        let (log, key) = (parts.log.clone(), parts.config_key.clone());
+        let (reader, tx) = (parts.reader.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let tell = |entries: Vec<StoreEntry>| {
+                let found = entries.into_iter().find(|entry| entry.key == key);
+                let document = found.and_then(|entry| document(&*reader, entry.value, &log));
+                document.is_none_or(|document| tx.send(Event::Config(document)).is_ok())
+            };
+            directory::follow(store, timer, &key, "configuration", log.clone(), tell).await;
+        });
+    }
+
+    fn notice_suspension(&mut self, now: Moment) {
+        let gap_us = now.mono_us.saturating_sub(self.turned_us);
+        self.turned_us = now.mono_us;
+        if gap_us > micros(SUSPENDED) {
+            warn!(self.parts.log, "process was suspended"; "gap_us" => gap_us);
+            self.wary_until_us = now.after(WARY);
+        }
+    }
+
+    fn handle(&mut self, now: Moment, event: Event) {
+        match event {
+            Event::Submit(submit) => self.submit(now, *submit),
+            Event::WaiterGone(waiter, job) => {
+                self.replies.remove(&waiter);
+                self.dispatcher.waiter_gone(now, waiter, job);
+            }
+            Event::Session(SessionEvent::Frame { session, frame }) => {
+                let age_us = self.sessions.age_us(now, session, frame.sent_us);
+                if age_us > micros(self.parts.limits.frame_age) {
+                    warn!(self.parts.log, "frame came late"; "session" => session.0,
+                        "age_us" => age_us);
+                    self.lose(session);
+                    return;
+                }
+                self.dispatcher.heard(now, session);
+                for message in frame.messages {
+                    self.dispatcher.message(now, session, message);
+                }
+            }
+            Event::Session(SessionEvent::Closed(session)) => self.lose(session),
+            Event::Dialed(name, stream) => self.dialed(now, &name, stream),
+            Event::Gates(records) => self.know_gates(now, records),
+            Event::Config(document) => self.learn(document, "store"),
+            Event::Leave => {
+                info!(self.parts.log, "entry is leaving"; "open_jobs" => self.dispatcher.open_jobs());
+                self.view().leaving = true;
+            }
+        }
+    }
+
+    fn view(&self) -> std::sync::MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn submit(&mut self, now: Moment, submit: Submit) {
+        if now.mono_us < self.wary_until_us {
+            let why = "the entry was suspended";
+            info!(self.parts.log, "job refused"; "job" => %submit.spec.id, "why" => why);
+            let answer = Answer::not_run(ResultCode::Overloaded, why);
+            let _ = submit.reply.send(answer.retry_after(WARY_COME_BACK_MS));
+            return;
+        }
+        self.replies.insert(submit.waiter, submit.reply);
+        let (spec, route) = (submit.spec, submit.route);
+        self.dispatcher
+            .submit(now, submit.waiter, spec, route, submit.wait_us);
+    }
+
+    fn lose(&mut self, session: SessionId) {
+        self.sessions.close(session);
+        self.dispatcher.disconnected(session);
+        for dial in self.dials.values_mut() {
+            if dial.session == Some(session) {
+                dial.session = None;
+            }
+        }
+    }
+
+    fn know_gates(&mut self, now: Moment, records: Vec<GateRecord>) {
+        for (name, dial) in &mut self.dials {
+            let listed = records.iter().any(|record| record.gate.name == *name);
+            match listed {
+                true => dial.missing_us = None,
+                false => {
+                    dial.missing_us.get_or_insert(now.mono_us);
+                }
+            }
+        }
+        for record in records {
+            let fresh = Dial {
+                addr: record.addr,
+                session: None,
+                dialing: false,
+                missing_us: None,
+            };
+            let dial = self.dials.entry(record.gate.name).or_insert(fresh);
+            dial.addr = record.addr;
+        }
+    }
+
+    fn dial_missing(&mut self, now: Moment) {
+        let gone_us = micros(MISSING);
+        self.dials.retain(|_, dial| {
+            let missing = dial.missing_us.is_some_and(|at| now.mono_us > at + gone_us);
+            !(missing && dial.session.is_none() && !dial.dialing)
+        });
+        for (name, dial_state) in &mut self.dials {
+            if dial_state.session.is_some() || dial_state.dialing {
+                continue;
+            }
+            dial_state.dialing = true;
+            let (name, addr) = (name.clone(), dial_state.addr);
+            let (timer, tx) = (self.parts.timer.clone(), self.tx.clone());
+            tokio::spawn(async move {
+                let stream = dial(&timer, addr).await;
+                if stream.is_none() {
+                    timer.sleep(REDIAL).await;
+                }
+                let _ = tx.send(Event::Dialed(name, stream));
+            });
+        }
+    }
+
+    fn dialed(&mut self, now: Moment, name: &Arc<str>, stream: Option<TcpStream>) {
+        let Some(dial) = self.dials.get_mut(name) else {
+            return;
+        };
+        dial.dialing = false;
+        if let Some(stream) = stream {
+            let session = self.sessions.open(stream);
+            dial.session = Some(session);
+            self.dispatcher.connected(now, name, session);
+        }
+    }
+
+    /// Puts a configuration in force if it is newer.
+    fn learn(&mut self, document: ConfigDocument, from: &'static str) {
+        let before = self.view().table.version;
+        if document.version <= before {
+            return;
+        }
+        match self.parts.reader.read(&document.text) {
+            Ok(table) => {
+                info!(self.parts.log, "configuration in force"; "version" => table.version,
+                    "before" => before, "routes" => table.routes.len(), "from" => from);
+                self.view().table = Arc::new(table);
+                self.dispatcher.config_in_force(document);
+            }
+            Err(err) => {
+                warn!(self.parts.log, "configuration not usable"; "version" => document.version,
+                    "error" => %err);
+            }
+        }
+    }
+
+    fn beat(&mut self, now: Moment) {
+        if now.mono_us >= self.beat_us + micros(self.parts.limits.beat) {
+            self.beat_us = now.mono_us;
+            self.dispatcher.beat();
+        }
+    }
+
+    fn act(&mut self, now: Moment) {
+        for action in self.dispatcher.take_actions(now) {
+            match action {
+                DispatchAction::Send { session, message } => self.sessions.send(session, message),
+                DispatchAction::Close(session) => self.lose(session),
+                DispatchAction::Reply { waiter, answer } => {
+                    if let Some(reply) = self.replies.remove(&waiter) {
+                        let _ = reply.send(answer);
+                    }
+                }
+                DispatchAction::Learned(document) => self.learn(document, "gate"),
+            }
+        }
+        for session in self.sessions.flush() {
+            warn!(self.parts.log, "gate does not keep up"; "session" => session.0);
+            self.lose(session);
+        }
+        let (gates, jobs) = (self.dispatcher.open_gates(), self.dispatcher.open_jobs());
+        let mut view = self.view();
+        view.gates = gates;
+        view.jobs = jobs;
+    }
+}
+
+fn document(reader: &dyn ConfigReader, text: bytes::Bytes, log: &Logger) -> Option<ConfigDocument> {
+    match reader.read(&text) {
+        Ok(table) => Some(ConfigDocument {
+            version: table.version,
+            text,
+        }),
+        Err(err) => {
+            warn!(log, "configuration not usable"; "error" => %err);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/ephemeral/gate/progress.rs
@@ -0,0 +1,276 @@
+//! What the worker answers: starts, stops, and the lists of what runs and ended.
+
+use slog::{debug, info, warn};
+
+use super::{Gate, GateAction, HOLD_WAIT, RunState, StopCause};
+use crate::ephemeral::job::RunId;
+use crate::ephemeral::message::{NotRunReason, RunEnd, ToEntry};
+use crate::ephemeral::worker::{
+    EndedRow, HoldCall, HoldReply, OrderError, RunningRow, StartAnswer, StartReply, WorkerEnd,
+};
+use crate::time::{Moment, micros};
+
+/// Times the expected span after which a run that does not get on is stopped;
+/// honest runs take up to 2.5 times what callers guess.
+const STALL_FACTOR: f64 = 4.0;
+/// Shortest time after which a run is judged, in microseconds.
+const LEAST_JUDGED_US: u64 = 60_000;
+
+impl Gate {
+    /// The worker answered a start, or did not.
+    pub fn start_answered(
+        &mut self,
+        now: Moment,
+        run: RunId,
+        answer: Result<StartAnswer, OrderError>,
+    ) {
+        if let Ok(answer) = &answer
+            && let (Some(life), Some(clock_ms)) = (&mut self.life, answer.clock_ms)
+        {
+            life.heard_clock(now, clock_ms);
+        }
+        let starting = self
+            .runs
+            .get(&run)
+            .is_some_and(|record| record.state == RunState::Starting);
+        match answer.map(|answer| answer.reply) {
+            Ok(StartReply::Running) if starting => self.began(run),
+            Ok(StartReply::Running) => {}
+            Ok(reply @ (StartReply::Old | StartReply::Rejected)) if starting => {
+                info!(self.log, "start rejected"; "run" => %run, "reply" => ?reply);
+                self.end(now, run, RunEnd::NotRun(NotRunReason::Rejected));
+            }
+            Ok(StartReply::Old | StartReply::Rejected) => {}
+            Ok(StartReply::OtherLife) | Err(OrderError::OtherLife) => {
+                self.life_is_over(now, "another life answered");
+            }
+            Err(OrderError::Refused) => self.life_is_over(now, "nothing listens"),
+            Err(err) if starting => {
+                info!(self.log, "start unanswered"; "run" => %run, "error" => %err);
+                self.stop(now, run, StopCause::Unanswered);
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn began(&mut self, run: RunId) {
+        let Some(record) = self.runs.get_mut(&run) else {
+            return;
+        };
+        record.state = RunState::Running;
+        let owner = record.owner.clone();
+        self.tell(&owner, ToEntry::Began { run });
+    }
+
+    /// The worker answered an order to stop, or did not.
+    pub fn stop_answered(&mut self, now: Moment, run: RunId, answer: Result<(), OrderError>) {
+        match answer {
+            Ok(()) => {
+                self.check_wanted = true;
+                if let Some(record) = self.runs.get_mut(&run)
+                    && let RunState::Stopping { acked_us, .. } = &mut record.state
+                {
+                    *acked_us = Some(now.mono_us);
+                }
+            }
+            Err(OrderError::OtherLife) => self.life_is_over(now, "another life answered"),
+            Err(OrderError::Refused) => self.life_is_over(now, "nothing listens"),
+            Err(err) => debug!(self.log, "stop unanswered"; "run" => %run, "error" => %err),
+        }
+    }
+
+    /// Keeps one hold waiting at the worker, and asks at once where a run's end
+    /// has to be confirmed.
+    pub(super) fn ask_for_lists(&mut self, now: Moment) {
+        let lease = self.limits.lease;
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        let lease_until = |life: &mut super::Life| {
+            let renews = life.has_clock() && life.listed;
+            renews.then(|| life.lease_until(now, lease))
+        };
+        if !self.hold_pending {
+            self.hold_pending = true;
+            let call = HoldCall {
+                worker: Some(life.id()),
+                lease_until_ms: lease_until(life),
+                last_seen: life.last_seen,
+                wait_ms: match life.listed {
+                    true => HOLD_WAIT.as_millis() as u64,
+                    false => 0,
+                },
+                check: false,
+            };
+            self.actions.push(GateAction::Hold(call));
+        } else if self.check_wanted && !self.check_pending {
+            self.check_wanted = false;
+            self.check_pending = true;
+            let call = HoldCall {
+                worker: Some(life.id()),
+                lease_until_ms: None,
+                last_seen: life.last_seen,
+                wait_ms: 0,
+                check: true,
+            };
+            self.actions.push(GateAction::Hold(call));
+        }
+    }
+
+    /// The worker listed its runs, or did not; `sent` is when it was asked.
+    pub fn hold_answered(
+        &mut self,
+        now: Moment,
+        sent: Moment,
+        call: &HoldCall,
+        answer: Result<HoldReply, OrderError>,
+    ) {
+        match call.check {
+            true => self.check_pending = false,
+            false => self.hold_pending = false,
+        }
+        let current = self.life.as_ref().map(super::Life::id);
+        if current != call.worker {
+            return;
+        }
+        match answer {
+            Ok(reply) => self.listed(now, sent, reply),
+            Err(OrderError::OtherLife) => self.life_is_over(now, "another life answered"),
+            Err(OrderError::Refused) => self.life_is_over(now, "nothing listens"),
+            Err(err) => warn!(self.log, "hold unanswered"; "error" => %err),
+        }
+    }
+
+    fn listed(&mut self, now: Moment, sent: Moment, reply: HoldReply) {
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        life.heard_clock(now, reply.clock_ms);
+        let first = !life.listed;
+        life.listed = true;
+        let last_seen = life.last_seen;
+        for row in reply.ended.iter().filter(|row| row.number > last_seen) {
+            self.worker_ended(now, row);
+        }
+        if first {
+            self.find_unclaimed(now, &reply.running);
+        }
+        self.unclaimed
+            .retain(|run, _| reply.running.iter().any(|row| row.run == *run));
+        self.confirm_stops(now, sent, &reply.running);
+        self.watch_progress(now, &reply.running);
+    }
+
+    fn find_unclaimed(&mut self, now: Moment, running: &[RunningRow]) {
+        let due_us = now.mono_us + micros(self.limits.silence);
+        for row in running {
+            if let Some(record) = self.runs.get_mut(&row.run) {
+                record.state = RunState::Running;
+                continue;
+            }
+            info!(self.log, "run of an earlier gate"; "run" => %row.run);
+            self.unclaimed.insert(row.run, due_us);
+        }
+        self.bar_missing(now);
+        self.load_changed = true;
+    }
+
+    /// Bars what entries claimed before the worker's lists came, if it is on
+    /// none of them: an order of the earlier gate may still be on its way.
+    fn bar_missing(&mut self, now: Moment) {
+        let missing: Vec<RunId> = self
+            .runs
+            .iter()
+            .filter(|(_, record)| record.state == RunState::Claimed)
+            .map(|(run, _)| *run)
+            .collect();
+        for run in missing {
+            self.stop(now, run, StopCause::Unanswered);
+        }
+    }
+
+    fn worker_ended(&mut self, now: Moment, row: &EndedRow) {
+        if let Some(life) = &mut self.life {
+            life.last_seen = life.last_seen.max(row.number);
+        }
+        let stalled = self.runs.get(&row.run).is_some_and(|record| {
+            matches!(
+                record.state,
+                RunState::Stopping {
+                    cause: StopCause::Stalled,
+                    ..
+                }
+            )
+        });
+        let end = match row.end {
+            WorkerEnd::Done => RunEnd::Done,
+            WorkerEnd::Failed => RunEnd::Failed,
+            WorkerEnd::Stopped | WorkerEnd::Lapsed if stalled => RunEnd::Stalled,
+            WorkerEnd::Stopped | WorkerEnd::Lapsed => RunEnd::Stopped,
+        };
+        self.end(now, row.run, end);
+    }
+
+    /// Ends the runs that were barred and are on no list made after that.
+    fn confirm_stops(&mut self, now: Moment, sent: Moment, running: &[RunningRow]) {
+        let gone: Vec<(RunId, bool)> = self
+            .runs
+            .iter()
+            .filter_map(|(run, record)| match record.state {
+                RunState::Stopping {
+                    acked_us: Some(acked_us),
+                    began,
+                    ..
+                } if acked_us < sent.mono_us => Some((*run, began)),
+                _ => None,
+            })
+            .filter(|(run, _)| running.iter().all(|row| row.run != *run))
+            .collect();
+        for (run, began) in gone {
+            let end = match began {
+                true => RunEnd::Stopped,
+                false => RunEnd::NotRun(NotRunReason::Unanswered),
+            };
+            self.end(now, run, end);
+        }
+    }
+
+    /// Learns from how far runs are; stops those that do not get on.
+    fn watch_progress(&mut self, now: Moment, running: &[RunningRow]) {
+        let mut stalled = Vec::new();
+        for row in running {
+            let Some(record) = self.runs.get_mut(&row.run) else {
+                continue;
+            };
+            match &mut record.state {
+                RunState::Starting => {
+                    record.state = RunState::Running;
+                    let message = ToEntry::Began { run: row.run };
+                    let owner = record.owner.clone();
+                    self.tell(&owner, message);
+                    continue;
+                }
+                RunState::Stopping { began, .. } => {
+                    *began = true;
+                    continue;
+                }
+                RunState::Running => {}
+                RunState::Queued { .. } | RunState::Claimed => continue,
+            }
+            let elapsed_us = now.mono_us.saturating_sub(record.since_us);
+            if elapsed_us < LEAST_JUDGED_US.max(record.expected_us / 2) {
+                continue;
+            }
+            let due = elapsed_us as f64 / record.expected_us.max(1) as f64 / STALL_FACTOR;
+            if f64::from(row.percent) / 100.0 < due.min(1.0) {
+                info!(self.log, "run does not get on"; "run" => %row.run,
+                    "percent" => row.percent, "elapsed_us" => elapsed_us,
+                    "expected_us" => record.expected_us);
+                stalled.push(row.run);
+            }
+        }
+        for run in stalled {
+            self.stop(now, run, StopCause::Stalled);
+        }
+    }
+}
--- /dev/null
+++ b/src/ephemeral/gate/sessions.rs
@@ -0,0 +1,281 @@
+//! Sessions with entries: who is there, what they want, what they are told.
+
+use slog::{debug, info, warn};
+
+use super::{Gate, GateAction, Run, RunState, StopCause};
+use crate::ephemeral::job::RunId;
+use crate::ephemeral::message::{ConfigDocument, OpenRun, ProcessId, ToEntry, ToGate};
+use crate::ephemeral::session::SessionId;
+use crate::time::{Moment, micros};
+
+/// Least time between two broadcasts of the load, in microseconds; at the sites'
+/// 45 starts a second a gate would else send three frames a start.
+const LOAD_PACE_US: u64 = 10_000;
+
+/// An entry that has sent orders.
+#[derive(Debug)]
+pub(super) struct Owner {
+    session: Option<SessionId>,
+    heard_us: u64,
+    /// Last of its starts that arrived.
+    seen: u64,
+    /// When it was last sent a load.
+    told_us: u64,
+}
+
+impl Gate {
+    /// A message came on a session.
+    pub fn message(&mut self, now: Moment, session: SessionId, message: ToGate) {
+        if let ToGate::Hello {
+            entry,
+            config,
+            open,
+        } = message
+        {
+            self.hello(now, session, entry, config, open);
+            return;
+        }
+        let Some(entry) = self.sessions.get(&session).cloned() else {
+            debug!(self.log, "message without hello"; "session" => session.0);
+            return;
+        };
+        match message {
+            ToGate::Start(order) => {
+                if let Some(owner) = self.owners.get_mut(&entry) {
+                    owner.seen = order.number;
+                }
+                self.admit(now, entry, *order);
+            }
+            ToGate::Stop { run } => self.stop(now, run, StopCause::Unwanted),
+            ToGate::Config(document) => self.learn_config(document),
+            ToGate::Beat | ToGate::Hello { .. } => {}
+        }
+    }
+
+    /// Something arrived on a session in good time.
+    pub fn heard(&mut self, now: Moment, session: SessionId) {
+        let entry = self.sessions.get(&session);
+        if let Some(owner) = entry.and_then(|entry| self.owners.get_mut(entry)) {
+            owner.heard_us = now.mono_us;
+        }
+    }
+
+    fn hello(
+        &mut self,
+        now: Moment,
+        session: SessionId,
+        entry: ProcessId,
+        config: u64,
+        open: Vec<OpenRun>,
+    ) {
+        info!(self.log, "entry connected"; "entry" => &*entry.name,
+            "incarnation" => entry.incarnation, "open_runs" => open.len());
+        self.expire_earlier_lives(now, &entry);
+        let owner = Owner {
+            session: Some(session),
+            heard_us: now.mono_us,
+            seen: 0,
+            told_us: 0,
+        };
+        if let Some(before) = self.owners.insert(entry.clone(), owner)
+            && let Some(old) = before.session
+        {
+            self.sessions.remove(&old);
+            self.actions.push(GateAction::Close(old));
+        }
+        self.sessions.insert(session, entry.clone());
+        let message = ToEntry::Hello {
+            gate: self.me.clone(),
+            config: self.config_version(),
+        };
+        self.tell(&entry, message);
+        self.share_config(&entry, config);
+        self.resume(now, &entry, &open);
+        self.load_changed = true;
+    }
+
+    fn expire_earlier_lives(&mut self, now: Moment, entry: &ProcessId) {
+        let earlier: Vec<ProcessId> = self
+            .owners
+            .keys()
+            .filter(|owner| owner.name == entry.name && *owner != entry)
+            .cloned()
+            .collect();
+        for owner in earlier {
+            self.expire(now, &owner, "it started anew");
+        }
+    }
+
+    /// Squares what the entry believes to be here with what is.
+    fn resume(&mut self, now: Moment, entry: &ProcessId, open: &[OpenRun]) {
+        let unwanted: Vec<RunId> = self
+            .runs
+            .iter()
+            .filter(|(_, record)| record.owner == *entry)
+            .map(|(run, _)| *run)
+            .filter(|run| open.iter().all(|claimed| claimed.run != *run))
+            .collect();
+        for run in unwanted {
+            self.stop(now, run, StopCause::Unwanted);
+        }
+        for claimed in open {
+            self.claim(now, entry, claimed);
+        }
+    }
+
+    fn claim(&mut self, now: Moment, entry: &ProcessId, claimed: &OpenRun) {
+        let run = claimed.run;
+        if let Some(record) = self.runs.get(&run) {
+            if record.state == RunState::Running {
+                self.tell(entry, ToEntry::Began { run });
+            }
+            return;
+        }
+        if let Some(past) = self.past_of(entry, run) {
+            let message = past.report(run);
+            self.tell(entry, message);
+            return;
+        }
+        let listed = self.life.as_ref().is_some_and(|life| life.listed);
+        let adopted = self.unclaimed.remove(&run).is_some();
+        let state = match (listed, adopted) {
+            (false, _) => RunState::Claimed,
+            (true, true) => RunState::Running,
+            (true, false) => RunState::Stopping {
+                cause: StopCause::Unanswered,
+                began: false,
+                asked_us: now.mono_us,
+                acked_us: None,
+            },
+        };
+        info!(self.log, "run claimed"; "run" => %run, "entry" => &*entry.name, "runs" => adopted);
+        let record = Run {
+            owner: entry.clone(),
+            needs: claimed.needs,
+            payload: "".into(),
+            expected_us: claimed.expected_us,
+            since_us: now.mono_us,
+            state,
+        };
+        self.runs.insert(run, record);
+        self.room.force(run, claimed.needs);
+        match state {
+            RunState::Running => self.tell(entry, ToEntry::Began { run }),
+            RunState::Stopping { .. } => self.send_stop(run),
+            _ => {}
+        }
+    }
+
+    /// A session ended; its entry has until the silence limit to come back.
+    pub fn session_closed(&mut self, session: SessionId) {
+        let Some(entry) = self.sessions.remove(&session) else {
+            return;
+        };
+        if let Some(owner) = self.owners.get_mut(&entry)
+            && owner.session == Some(session)
+        {
+            info!(self.log, "entry disconnected"; "entry" => &*entry.name);
+            owner.session = None;
+        }
+    }
+
+    /// Ends the runs of entries that have been silent for too long.
+    pub(super) fn expire_owners(&mut self, now: Moment) {
+        let silence_us = micros(self.limits.silence);
+        let silent: Vec<ProcessId> = self
+            .owners
+            .iter()
+            .filter(|(_, owner)| now.mono_us > owner.heard_us + silence_us)
+            .map(|(entry, _)| entry.clone())
+            .collect();
+        for entry in silent {
+            self.expire(now, &entry, "silent");
+        }
+    }
+
+    fn expire(&mut self, now: Moment, entry: &ProcessId, why: &str) {
+        let Some(owner) = self.owners.remove(entry) else {
+            return;
+        };
+        let silent_ms = now.mono_us.saturating_sub(owner.heard_us) / 1_000;
+        info!(self.log, "entry given up"; "entry" => &*entry.name, "why" => why,
+            "silent_ms" => silent_ms);
+        if let Some(session) = owner.session {
+            self.sessions.remove(&session);
+            self.actions.push(GateAction::Close(session));
+        }
+        let theirs: Vec<RunId> = self
+            .runs
+            .iter()
+            .filter(|(_, record)| record.owner == *entry)
+            .map(|(run, _)| *run)
+            .collect();
+        for run in theirs {
+            self.stop(now, run, StopCause::Unwanted);
+        }
+    }
+
+    pub(super) fn tell(&mut self, entry: &ProcessId, message: ToEntry) {
+        let session = self.owners.get(entry).and_then(|owner| owner.session);
+        if let Some(session) = session {
+            self.actions.push(GateAction::Send { session, message });
+        }
+    }
+
+    /// Sends the load to every entry when it changed, and once a heartbeat.
+    pub(super) fn share_load(&mut self, now: Moment) {
+        let pace_us = match self.load_changed {
+            true => LOAD_PACE_US,
+            false => micros(self.limits.beat),
+        };
+        if now.mono_us < self.load_sent_us + pace_us {
+            return;
+        }
+        self.load_changed = false;
+        self.load_sent_us = now.mono_us;
+        let connected: Vec<(ProcessId, u64)> = self
+            .owners
+            .iter_mut()
+            .filter(|(_, owner)| owner.session.is_some())
+            .map(|(entry, owner)| {
+                owner.told_us = now.mono_us;
+                (entry.clone(), owner.seen)
+            })
+            .collect();
+        for (entry, seen) in connected {
+            let load = self.load(seen);
+            self.tell(&entry, ToEntry::Load(load));
+        }
+    }
+
+    fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |document| document.version)
+    }
+
+    /// Keeps the newest configuration for entries that cannot read the store.
+    fn learn_config(&mut self, document: ConfigDocument) {
+        if document.version <= self.config_version() {
+            return;
+        }
+        info!(self.log, "configuration passed on"; "version" => document.version);
+        let version = document.version;
+        self.config = Some(document);
+        let others: Vec<ProcessId> = self.owners.keys().cloned().collect();
+        for entry in others {
+            self.share_config(&entry, version - 1);
+        }
+    }
+
+    fn share_config(&mut self, entry: &ProcessId, known: u64) {
+        match &self.config {
+            Some(document) if document.version > known => {
+                let message = ToEntry::Config(document.clone());
+                self.tell(entry, message);
+            }
+            None if known > 0 => {
+                warn!(self.log, "no configuration yet"; "entry_has" => known);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/ephemeral/message.rs
@@ -0,0 +1,192 @@
+//! What entries and gates say to each other.
+//!
+//! One connection is one session. Both sides send frames; a frame carries the
+//! messages that were waiting and the sender's monotonic clock, by which the
+//! receiver tells how long the frame was under way ([`super::session`]).
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::ephemeral::job::{Resources, RunId};
+
+/// One life of a process.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ProcessId {
+    /// Name of the process in the deployment.
+    pub name: Arc<str>,
+    /// Random number of this life.
+    pub incarnation: u64,
+}
+
+/// Messages sent together.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Frame<M> {
+    /// Monotonic clock of the sender, in microseconds.
+    pub sent_us: u64,
+    /// The messages, in order.
+    pub messages: Vec<M>,
+}
+
+/// A configuration document as the operator wrote it, passed on unread.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigDocument {
+    /// Its version.
+    pub version: u64,
+    /// Its text.
+    pub text: Bytes,
+}
+
+/// From an entry to a gate.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToGate {
+    /// Opens a session, or takes up an earlier one of the same life.
+    Hello {
+        /// The entry.
+        entry: ProcessId,
+        /// Version of its configuration.
+        config: u64,
+        /// Runs that it believes to be at this gate.
+        open: Vec<OpenRun>,
+    },
+    /// Run this as soon as there is room.
+    Start(Box<StartOrder>),
+    /// Bar this run, or stop it.
+    Stop {
+        /// The run.
+        run: RunId,
+    },
+    /// The entry lives.
+    Beat,
+    /// The entry's configuration is newer than the gate's.
+    Config(ConfigDocument),
+}
+
+/// A run that an entry had given to a gate before their session broke.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OpenRun {
+    /// The run.
+    pub run: RunId,
+    /// What it holds while it runs.
+    pub needs: Resources,
+    /// Run time that the entry expects, in microseconds.
+    pub expected_us: u64,
+}
+
+/// A task on its way to a gate.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StartOrder {
+    /// The run.
+    pub run: RunId,
+    /// What the worker is given.
+    pub payload: Arc<str>,
+    /// What it holds while it runs.
+    pub needs: Resources,
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Longest wait for room, in microseconds; refused afterwards.
+    pub patience_us: u64,
+    /// Run time that the entry expects on a worker of usual speed, in microseconds.
+    pub expected_us: u64,
+    /// Place in the entry's count of starts in this session.
+    pub number: u64,
+}
+
+/// From a gate to an entry.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToEntry {
+    /// Answers the entry's hello.
+    Hello {
+        /// The gate.
+        gate: ProcessId,
+        /// Version of the configuration that it has seen.
+        config: u64,
+    },
+    /// The gate's state now; also its sign of life.
+    Load(GateLoad),
+    /// A run ended, or never began.
+    Ended {
+        /// The run.
+        run: RunId,
+        /// How.
+        end: RunEnd,
+        /// Its run time in microseconds; 0 if it never began.
+        run_us: u64,
+    },
+    /// The worker has begun the run.
+    Began {
+        /// The run.
+        run: RunId,
+    },
+    /// The gate has seen a newer configuration than the entry.
+    Config(ConfigDocument),
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunEnd {
+    /// The worker finished it.
+    Done,
+    /// The worker reports a failure.
+    Failed,
+    /// It began and was stopped, or its lease ran out.
+    Stopped,
+    /// It did not get on, and was stopped for that.
+    Stalled,
+    /// It never began here and never will.
+    NotRun(NotRunReason),
+}
+
+/// Why a run never began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NotRunReason {
+    /// No room in time.
+    NoRoom,
+    /// The worker is leaving, or the gate is.
+    Leaving,
+    /// The gate has no worker now.
+    NoWorker,
+    /// The entry withdrew it.
+    Withdrawn,
+    /// The order did not reach the worker, which bars it now.
+    Unanswered,
+    /// The worker turned it down.
+    Rejected,
+    /// The gate does not know it.
+    Unknown,
+}
+
+/// State of a gate and its worker.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct GateLoad {
+    /// The worker, if there is one.
+    pub worker: Option<Arc<WorkerTraits>>,
+    /// Room that nobody holds.
+    pub free: Resources,
+    /// Processor time wanted by runs that wait, in thousandths of a core.
+    pub queued_cpu_milli: u64,
+    /// Mean run time of recent runs, in microseconds; 0 if unknown.
+    pub mean_run_us: u64,
+    /// Run times against what entries expected, in percent.
+    pub slowness_percent: u32,
+    /// Whether recent runs fail or stall; it gets one run at a time.
+    pub suspect: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Last start of this entry that is part of this load.
+    pub seen: u64,
+}
+
+/// What a worker is, for placement.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerTraits {
+    /// Id of the worker's life.
+    pub id: String,
+    /// Service that it runs tasks of.
+    pub service: String,
+    /// What it has.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+}
--- /dev/null
+++ b/src/ephemeral/mod.rs
@@ -0,0 +1,29 @@
+//! Jobs that nobody keeps: owned by the entry that took them, in its memory.
+//!
+//! A job of this kind is answered on the connection that brought it and is
+//! forgotten afterwards; a caller that hears nothing sends it again, to any
+//! entry. No write to the store is on its path. What keeps two runs of one task
+//! apart is time: a run lives only while the session between its owner and the
+//! gate beside the worker is fresh, and the worker's lease is shorter than what
+//! is left of the caller's pause before it sends again ([`limits`]).
+//!
+//! - [`job`], [`routes`]: what is asked for, and what the configuration allows.
+//! - [`dispatcher`]: the entry's decisions; [`placement`] chooses gates.
+//! - [`gate`]: the decisions beside a worker; [`room`] counts its capacity.
+//! - [`message`], [`session`]: what entries and gates say, and how it travels.
+//! - [`directory`]: how processes find one another through the store.
+//! - [`entry`], [`agent`]: the loops around the decisions.
+
+pub mod agent;
+pub mod directory;
+pub mod dispatcher;
+pub mod entry;
+pub mod gate;
+pub mod job;
+pub mod limits;
+pub mod message;
+pub mod placement;
+pub mod room;
+pub mod routes;
+pub mod session;
+pub mod worker;
--- /dev/null
+++ b/src/ephemeral/placement.rs
@@ -0,0 +1,201 @@
+//! Which gate a task goes to, as an entry sees the gates.
+//!
+//! Each gate is judged by when the task would end there: the wait for room, by
+//! the gate's last load and what was sent since, and the run time at the
+//! worker's speed. A little noise keeps entries that place at the same moment
+//! from all choosing the same gate.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::ephemeral::job::{Constraints, Resources, RunId};
+use crate::ephemeral::message::{GateLoad, WorkerTraits};
+use crate::ephemeral::session::SessionId;
+
+/// Mean run time of a gate that has none yet, in microseconds: the sites' mean.
+const UNKNOWN_MEAN_US: f64 = 200_000.0;
+/// Share of the expected run time by which scores are blurred.
+const NOISE: f64 = 0.15;
+/// Cost of a full worker against an empty one, as a share of the run time; it
+/// spreads the tasks of a job over workers.
+const CROWDING: f64 = 0.2;
+/// How much longer a task takes away from its data, if nothing says so.
+const DEFAULT_FAR_FACTOR: f64 = 1.5;
+
+/// What an entry knows of a gate.
+#[derive(Debug)]
+pub struct GateView {
+    /// The open session, once the gate has answered the hello.
+    pub session: Option<SessionId>,
+    /// Life of the gate that was last heard.
+    pub incarnation: u64,
+    /// When it was last heard, in monotonic microseconds.
+    pub heard_us: u64,
+    /// Its last load.
+    pub load: GateLoad,
+    /// Starts sent in this session.
+    pub sent: u64,
+    /// Starts that the last load does not contain: their number and needs.
+    unseen: VecDeque<(u64, RunId, Resources)>,
+}
+
+impl GateView {
+    /// A gate that was just reached.
+    pub fn new(now_us: u64) -> GateView {
+        GateView {
+            session: None,
+            incarnation: 0,
+            heard_us: now_us,
+            load: GateLoad::default(),
+            sent: 0,
+            unseen: VecDeque::new(),
+        }
+    }
+
+    /// A new session begins; what was sent before counts no more.
+    pub fn begin_session(&mut self) {
+        self.sent = 0;
+        self.unseen.clear();
+    }
+
+    /// Takes in a load.
+    pub fn observe(&mut self, load: GateLoad) {
+        self.unseen.retain(|(number, ..)| *number > load.seen);
+        self.load = load;
+    }
+
+    /// Counts a start; returns its number in the session.
+    pub fn count(&mut self, run: RunId, needs: Resources) -> u64 {
+        self.sent += 1;
+        self.unseen.push_back((self.sent, run, needs));
+        self.sent
+    }
+
+    /// A run that was sent is over.
+    pub fn over(&mut self, run: RunId) {
+        self.unseen.retain(|(_, sent, _)| *sent != run);
+    }
+
+    /// Whether the gate takes work now.
+    pub fn is_open(&self) -> bool {
+        self.session.is_some() && self.load.worker.is_some() && !self.load.leaving
+    }
+
+    fn worker(&self) -> Option<&Arc<WorkerTraits>> {
+        self.load.worker.as_ref()
+    }
+
+    /// Processor time wanted beyond what is free, with `needs` added.
+    fn missing_cpu(&self, needs: &Resources) -> f64 {
+        let unseen: u64 = self.unseen.iter().map(|(.., sent)| sent.cpu_milli).sum();
+        let wanted = needs.cpu_milli + self.load.queued_cpu_milli + unseen;
+        wanted as f64 - self.load.free.cpu_milli as f64
+    }
+
+    fn wait_us(&self, needs: &Resources, capacity: &Resources) -> f64 {
+        let missing = self.missing_cpu(needs);
+        if missing <= 0.0 {
+            return 0.0;
+        }
+        let mean_us = match self.load.mean_run_us {
+            0 => UNKNOWN_MEAN_US,
+            mean_us => mean_us as f64,
+        };
+        missing * mean_us / capacity.cpu_milli.max(1) as f64
+    }
+
+    fn slowness(&self) -> f64 {
+        f64::from(self.load.slowness_percent.max(10)) / 100.0
+    }
+}
+
+/// What a task needs of a gate.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// Service of the worker.
+    pub service: &'a str,
+    /// Resources.
+    pub needs: &'a Resources,
+    /// Where it may run.
+    pub constraints: &'a Constraints,
+    /// Run time on a worker of usual speed, in microseconds.
+    pub expected_us: u64,
+}
+
+impl Want<'_> {
+    /// Whether `worker` could ever run it.
+    pub fn fits(&self, worker: &WorkerTraits) -> bool {
+        let label = self.constraints.label.as_ref();
+        worker.service == self.service
+            && self.needs.fits_in(&worker.capacity)
+            && label.is_none_or(|label| worker.labels.contains(label))
+    }
+}
+
+/// A gate for a task.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Name of the gate.
+    pub gate: Arc<str>,
+    /// Expected wait for room, in microseconds.
+    pub wait_us: u64,
+    /// Expected run time there, in microseconds.
+    pub run_us: u64,
+}
+
+/// Chooses gates.
+#[derive(Debug)]
+pub struct Placer {
+    far_factor: f64,
+    rng: StdRng,
+}
+
+impl Placer {
+    /// A placer whose noise comes from `seed`.
+    pub fn new(seed: u64) -> Placer {
+        Placer {
+            far_factor: DEFAULT_FAR_FACTOR,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// The gate where a task would end first, out of `gates`.
+    pub fn choose<'g>(
+        &mut self,
+        gates: impl Iterator<Item = (&'g Arc<str>, &'g GateView)>,
+        want: &Want<'_>,
+    ) -> Option<Choice> {
+        let mut best: Option<(f64, Choice)> = None;
+        for (name, gate) in gates {
+            let Some(worker) = gate.worker().filter(|worker| want.fits(worker)) else {
+                continue;
+            };
+            let far = self.far_from_data(want, worker);
+            let run_us = want.expected_us as f64 * gate.slowness() * far;
+            let wait_us = gate.wait_us(want.needs, &worker.capacity);
+            let free = gate.load.free.cpu_milli as f64 / worker.capacity.cpu_milli.max(1) as f64;
+            let crowding = (1.0 - free) * CROWDING;
+            let noise = self.rng.random::<f64>() * NOISE;
+            let score = wait_us + run_us * (1.0 + crowding + noise);
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                let choice = Choice {
+                    gate: name.clone(),
+                    wait_us: wait_us as u64,
+                    run_us: run_us as u64,
+                };
+                best = Some((score, choice));
+            }
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    fn far_from_data(&self, want: &Want<'_>, worker: &WorkerTraits) -> f64 {
+        match &want.constraints.data_rack {
+            Some(rack) if !worker.labels.contains(rack) => self.far_factor,
+            _ => 1.0,
+        }
+    }
+}
--- /dev/null
+++ b/src/ephemeral/worker.rs
@@ -0,0 +1,185 @@
+//! A worker that takes orders and reports what ran.
+//!
+//! Unlike [`crate::worker::Worker`], which answers a run with its result, such
+//! a worker acknowledges a start, and lists what runs and what ended when it is
+//! asked. All that runs on it shares one lease, counted on its own clock. An
+//! order without an answer may have been carried out, or may be seconds later.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use quick_error::quick_error;
+
+use crate::ephemeral::job::{Resources, RunId};
+use crate::ephemeral::message::WorkerTraits;
+
+/// What a worker says of itself from time to time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerReport {
+    /// Id of this life of the worker.
+    pub id: String,
+    /// Service that it runs tasks of.
+    pub service: String,
+    /// Address for orders.
+    pub addr: String,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Time until it is gone, in milliseconds, if it says so.
+    pub leaves_in_ms: Option<u64>,
+    /// What it has.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+    /// Its clock, in milliseconds.
+    pub clock_ms: u64,
+    /// Count of its calls; a lower one is older.
+    pub sequence: u64,
+}
+
+impl WorkerReport {
+    /// What matters for placement.
+    pub fn traits(&self) -> WorkerTraits {
+        WorkerTraits {
+            id: self.id.clone(),
+            service: self.service.clone(),
+            capacity: self.capacity,
+            labels: self.labels.clone(),
+        }
+    }
+}
+
+/// An order to begin a run.
+#[derive(Clone, Debug)]
+pub struct StartCall {
+    /// Life of the worker that is meant.
+    pub worker: Arc<str>,
+    /// The run.
+    pub run: RunId,
+    /// What the task is given.
+    pub payload: Arc<str>,
+    /// End of the lease, on the worker's clock, in milliseconds.
+    pub lease_until_ms: u64,
+}
+
+/// Answer to a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartReply {
+    /// It runs; also if it ran already.
+    Running,
+    /// The worker did nothing: this run is barred or not above an earlier one.
+    Old,
+    /// The worker did nothing: no room, lease over, unhealthy or bad order.
+    Rejected,
+    /// Another life of the worker answered.
+    OtherLife,
+}
+
+/// A question for all that runs and ended.
+#[derive(Clone, Debug)]
+pub struct HoldCall {
+    /// Life of the worker that is meant; any, if unknown.
+    pub worker: Option<Arc<str>>,
+    /// New end of the lease on the worker's clock, in milliseconds.
+    pub lease_until_ms: Option<u64>,
+    /// Last end that was taken note of.
+    pub last_seen: u64,
+    /// How long the answer may wait for an end, in milliseconds.
+    pub wait_ms: u64,
+    /// Whether it only confirms a stop, beside the hold that waits for ends.
+    pub check: bool,
+}
+
+/// A run that goes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningRow {
+    /// The run.
+    pub run: RunId,
+    /// How far it is.
+    pub percent: u32,
+}
+
+/// How a worker says that a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerEnd {
+    /// Finished.
+    Done,
+    /// Failed by itself or through the worker.
+    Failed,
+    /// Stopped by an order.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+}
+
+/// A run that ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedRow {
+    /// Count of ends in this life of the worker.
+    pub number: u64,
+    /// The run.
+    pub run: RunId,
+    /// How it ended.
+    pub end: WorkerEnd,
+}
+
+/// Answer to a hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HoldReply {
+    /// The worker's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// What runs.
+    pub running: Vec<RunningRow>,
+    /// What ended since `last_seen`.
+    pub ended: Vec<EndedRow>,
+}
+
+quick_error! {
+    /// Why an order has no useful answer.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum OrderError {
+        /// Nothing listens at the worker's address.
+        Refused {
+            display("nothing listens at the worker's address")
+        }
+        /// Nothing came back; the order may be carried out, also later.
+        Unanswered {
+            display("no answer; the order may be carried out, also later")
+        }
+        /// Another life of the worker answered; the one that was meant is gone.
+        OtherLife {
+            display("another life of the worker answered")
+        }
+        /// The answer could not be read.
+        Protocol {
+            display("unexpected answer")
+        }
+    }
+}
+
+/// Future of a worker's answer.
+pub type OrderFuture<T> = Pin<Box<dyn Future<Output = Result<T, OrderError>> + Send>>;
+
+/// Answer to a start, with the worker's clock where it says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartAnswer {
+    /// What became of the order.
+    pub reply: StartReply,
+    /// The worker's clock, in milliseconds.
+    pub clock_ms: Option<u64>,
+}
+
+/// Sends orders to one worker.
+pub trait OrderedWorker: Send + Sync {
+    /// Aims at the worker at `addr` from now on.
+    fn aim(&self, addr: &str);
+
+    /// Begins a run.
+    fn start(&self, call: StartCall) -> OrderFuture<StartAnswer>;
+
+    /// Bars or stops a run; ends once the worker has taken note.
+    fn stop(&self, worker: Arc<str>, run: RunId) -> OrderFuture<()>;
+
+    /// Renews the lease and lists runs.
+    fn hold(&self, call: HoldCall) -> OrderFuture<HoldReply>;
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,10 +1,14 @@
-//! Metrics over UDP; docs/METRICS.md lists the names.
+//! Metrics over UDP or kept in memory; docs/METRICS.md lists the names.
 
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use cadence::prelude::*;
-use cadence::{NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use cadence::{MetricSink, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use hdrhistogram::Histogram;
 
 use crate::error::{Error, Result};
 
@@ -41,6 +45,13 @@
         })
     }
 
+    /// Keeps counts, gauges and histograms in `registry`.
+    pub fn in_memory(registry: Registry) -> Metrics {
+        Metrics {
+            client: Arc::new(StatsdClient::from_sink(PREFIX, registry)),
+        }
+    }
+
     /// Adds to a counter.
     pub fn count(&self, name: &str, by: u64) {
         let _ = self.client.count(name, by as i64);
@@ -56,3 +67,76 @@
         let _ = self.client.time(name, ms);
     }
 }
+
+/// Quantiles that a page shows.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
+/// Significant digits of a histogram.
+const DIGITS: u8 = 2;
+
+#[derive(Default)]
+struct Figures {
+    counters: BTreeMap<String, u64>,
+    gauges: BTreeMap<String, u64>,
+    times: BTreeMap<String, Histogram<u64>>,
+}
+
+impl Figures {
+    /// Takes in one line of statsd: `name:value|type`.
+    fn take(&mut self, line: &str) -> Option<()> {
+        let (name, rest) = line.split_once(':')?;
+        let mut parts = rest.split('|');
+        let value: u64 = parts.next()?.parse().ok()?;
+        match parts.next()? {
+            "c" => *self.counters.entry(name.to_string()).or_default() += value,
+            "g" => {
+                self.gauges.insert(name.to_string(), value);
+            }
+            _ => self.record(name, value)?,
+        }
+        Some(())
+    }
+
+    fn record(&mut self, name: &str, value: u64) -> Option<()> {
+        if !self.times.contains_key(name) {
+            let empty = Histogram::new(DIGITS).ok()?;
+            self.times.insert(name.to_string(), empty);
+        }
+        self.times.get_mut(name)?.record(value).ok()
+    }
+}
+
+/// Figures of this process, for a page that shows them.
+#[derive(Clone, Default)]
+pub struct Registry {
+    figures: Arc<Mutex<Figures>>,
+}
+
+impl Registry {
+    /// All figures as text, one a line.
+    pub fn page(&self) -> String {
+        let figures = self.figures.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut page = String::new();
+        for (name, value) in figures.counters.iter().chain(&figures.gauges) {
+            // Writing to a string cannot fail.
+            let _ = writeln!(page, "{name} {value}");
+        }
+        for (name, times) in &figures.times {
+            let _ = writeln!(page, "{name}_count {}", times.len());
+            for quantile in QUANTILES {
+                let value = times.value_at_quantile(quantile);
+                let _ = writeln!(page, "{name}{{quantile=\"{quantile}\"}} {value}");
+            }
+        }
+        page
+    }
+}
+
+impl MetricSink for Registry {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        let mut figures = self.figures.lock().unwrap_or_else(PoisonError::into_inner);
+        figures
+            .take(metric)
+            .map(|()| metric.len())
+            .ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))
+    }
+}
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -16,7 +16,6 @@
 pub mod entry;
 mod progress;
 pub mod ranges;
-mod run_times;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -32,12 +31,12 @@
 use crate::message::{Answer, Ask, Message};
 use crate::placement::Placer;
 use crate::retry::RetryBudget;
+use crate::run_times::RunTimes;
 use crate::time::Moment;
 use admission::Parked;
 use dispatch::Backlog;
 use entry::Entry;
 use ranges::Held;
-use run_times::RunTimes;
 
 /// What an owner asks of the process around it.
 #[derive(Clone, Debug)]
--- a/src/owner/run_times.rs
+++ b/src/run_times.rs
@@ -25,8 +25,13 @@
 
     /// Run time to expect, in microseconds.
     pub fn expect(&self, service: &str, kind: &Kind) -> u64 {
-        let kinds = self.means_us.get(service);
-        let mean = kinds.and_then(|kinds| kinds.get(kind.name.as_str()));
-        mean.map_or(kind.expected_ms * 1_000, |mean| *mean as u64)
+        let mean = self.mean_us(service, kind.name.as_str());
+        mean.unwrap_or(kind.expected_ms * 1_000)
+    }
+
+    /// Mean run time in microseconds, once there was a run.
+    pub fn mean_us(&self, service: &str, kind: &str) -> Option<u64> {
+        let kinds = self.means_us.get(service)?;
+        kinds.get(kind).map(|mean| *mean as u64)
     }
 }
--- a/src/time.rs
+++ b/src/time.rs
@@ -83,9 +83,9 @@
     }
 }
 
+/// The thread that fires alarms.
 struct Thread {
     shared: Arc<Shared>,
-    start: Instant,
 }
 
 impl Drop for Thread {
@@ -95,10 +95,12 @@
     }
 }
 
-/// Handle on the timer service; clones share one thread.
+/// Handle on the timer service; clones share it.
 #[derive(Clone)]
 pub struct Timer {
-    thread: Arc<Thread>,
+    start: Instant,
+    /// Absent where the runtime's own timers serve.
+    thread: Option<Arc<Thread>>,
 }
 
 impl Timer {
@@ -110,16 +112,26 @@
             .name("timer".to_string())
             .spawn(move || fire_alarms(&worker))
             .expect("the timer thread starts");
-        let start = Instant::now();
-        let thread = Arc::new(Thread { shared, start });
-        Timer { thread }
+        Timer {
+            start: Instant::now(),
+            thread: Some(Arc::new(Thread { shared })),
+        }
+    }
+
+    /// A service on the runtime's timers: whole milliseconds, and no thread to
+    /// wake, which a small share of a core pays for.
+    pub fn coarse() -> Timer {
+        Timer {
+            start: Instant::now(),
+            thread: None,
+        }
     }
 
     /// Reads both clocks.
     pub fn now(&self) -> Moment {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH);
         Moment {
-            mono_us: micros(self.thread.start.elapsed()),
+            mono_us: micros(self.start.elapsed()),
             wall_ms: wall.map_or(0, |wall| wall.as_millis() as u64),
         }
     }
@@ -129,10 +141,14 @@
         if span.is_zero() {
             return;
         }
+        let Some(thread) = &self.thread else {
+            tokio::time::sleep(span).await;
+            return;
+        };
         let (tx, rx) = oneshot::channel();
         let at = Instant::now() + span;
-        self.thread.shared.lock().alarms.push(Alarm { at, tx });
-        self.thread.shared.changed.notify_one();
+        thread.shared.lock().alarms.push(Alarm { at, tx });
+        thread.shared.changed.notify_one();
         let _ = rx.await;
     }
 
