--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -8,7 +8,9 @@
 use super::{DispatchAction, Dispatcher};
 use crate::code::{Effect, ResultCode};
 use crate::ephemeral::job::{JobId, RunId};
-use crate::ephemeral::message::{ConfigDocument, OpenRun, ProcessId, ToEntry, ToGate};
+use crate::ephemeral::message::{
+    ConfigDocument, NotRunReason, OpenRun, ProcessId, RunEnd, ToEntry, ToGate,
+};
 use crate::ephemeral::placement::GateView;
 use crate::ephemeral::session::SessionId;
 use crate::message::Answer;
@@ -192,9 +194,13 @@
         self.actions.extend(beats);
     }
 
-    pub(super) fn run_left_gate(&mut self, name: &Arc<str>, run: RunId) {
-        if let Some(gate) = self.gates.get_mut(name) {
-            gate.over(run);
+    pub(super) fn run_left_gate(&mut self, name: &Arc<str>, run: RunId, end: RunEnd) {
+        let Some(gate) = self.gates.get_mut(name) else {
+            return;
+        };
+        gate.over(run);
+        if end == RunEnd::NotRun(NotRunReason::NoRoom) {
+            gate.had_no_room();
         }
     }
 }
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -6,9 +6,6 @@
 use crate::ephemeral::job::{JobSpec, RunId};
 use crate::ephemeral::routes::Route;
 
-/// Times its objective within which a late answer still helps (the platform's
-/// pages: up to three times counts as late).
-const LATE_FACTOR: u64 = 3;
 /// Share of the expected run time kept back when a start's patience is set;
 /// run times vary about their mean.
 const RUN_MARGIN: f64 = 1.1;
@@ -38,6 +35,8 @@
     pub runs: u32,
     /// Runs that ended as failures.
     pub failures: u32,
+    /// Gates that had less room than their loads said.
+    pub bounces: u32,
     /// Gates where it did not end well.
     pub avoid: Vec<Arc<str>>,
 }
@@ -72,6 +71,7 @@
             state: TaskState::Waiting,
             runs: first_run,
             failures: 0,
+            bounces: 0,
             avoid: Vec::new(),
         };
         Job {
@@ -98,11 +98,10 @@
         self.arrived_us + self.objective_us().saturating_sub(run_us)
     }
 
-    /// Latest time to begin a task so that its answer helps at all.
-    pub fn last_begin_us(&self) -> u64 {
-        let late_us = self.arrived_us + self.objective_us() * LATE_FACTOR;
-        let end_us = late_us.min(self.deadline_us);
-        end_us.saturating_sub(self.expected_us + OVERHEAD_US)
+    /// Latest time to begin a task so that it may end before the deadline.
+    fn last_begin_us(&self) -> u64 {
+        self.deadline_us
+            .saturating_sub(self.expected_us + OVERHEAD_US)
     }
 
     /// How long a start may wait for room at a gate from `now_us` on.
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -41,6 +41,9 @@
 /// Weight of the caller's own estimate against the mean of past runs; estimates
 /// of the sites are off by 40%, run times vary by 40%.
 const ESTIMATE_WEIGHT: f64 = 0.5;
+/// Gates with less room than they said that a task is turned away from before
+/// it waits at one.
+const MOST_BOUNCES: u32 = 3;
 /// Step of the run number after a worker rejected it as too low.
 const RUN_STEP: u32 = 16;
 
@@ -196,7 +199,7 @@
 
     /// Whether a job can be served in time.
     fn admit(&mut self, now: Moment, job: &Job) -> Result<(), Answer> {
-        let want = want(job);
+        let want = want(now, job);
         let fitting = |gate: &GateView| {
             let worker = gate.load.worker.as_ref();
             worker.is_some_and(|worker| want.fits(worker))
@@ -253,6 +256,7 @@
         }
         let task = &mut job.tasks[index as usize];
         task.runs += 1;
+        let bounces = task.bounces;
         let run = RunId {
             job: id,
             index,
@@ -273,7 +277,11 @@
             payload: job.spec.payload.clone(),
             needs: job.spec.needs,
             priority: job.route.priority,
-            patience_us,
+            // Where room was expected, another gate is better than a wait.
+            patience_us: match choice.wait_us == 0 && bounces < MOST_BOUNCES {
+                true => 0,
+                false => patience_us,
+            },
             expected_us: job.expected_us,
             number: gate.count(run, job.spec.needs),
         };
@@ -305,7 +313,7 @@
                 && !task.avoid.contains(name)
         };
         let open = self.gates.iter().filter(allowed);
-        let choice = self.placer.choose(open, &want(job))?;
+        let choice = self.placer.choose(open, &want(now, job))?;
         let chosen = self.gates.get(&choice.gate)?;
         if chosen.load.suspect {
             let next_us = now.mono_us + micros(gates::PROBE_PAUSE);
@@ -377,7 +385,8 @@
             return;
         };
         if job.may_have_run {
-            self.finish(now, id, failed(ResultCode::TaskFailed, why));
+            let answer = Answer::failure(ResultCode::OutcomeUnknown, Effect::Ran, why);
+            self.finish(now, id, answer);
             return;
         }
         if job.is_untouched() {
@@ -447,12 +456,13 @@
     }
 }
 
-fn want(job: &Job) -> Want<'_> {
+fn want(now: Moment, job: &Job) -> Want<'_> {
     Want {
         service: &job.route.service,
         needs: &job.spec.needs,
         constraints: &job.spec.constraints,
         expected_us: job.expected_us,
+        left_us: job.deadline_us.saturating_sub(now.mono_us),
     }
 }
 
--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -27,7 +27,7 @@
         end: RunEnd,
         run_us: u64,
     ) {
-        self.run_left_gate(gate, run);
+        self.run_left_gate(gate, run, end);
         let Some(job) = self.jobs.get_mut(&run.job) else {
             return;
         };
@@ -58,9 +58,12 @@
                 }
             }
             RunEnd::NotRun(NotRunReason::Rejected) => task.runs += super::RUN_STEP,
+            RunEnd::NotRun(NotRunReason::NoRoom) => task.bounces += 1,
             RunEnd::NotRun(_) | RunEnd::Stopped | RunEnd::Stalled => {}
         }
-        task.avoid.push(gate.clone());
+        if end != RunEnd::NotRun(NotRunReason::NoRoom) {
+            task.avoid.push(gate.clone());
+        }
         if let Some(why) = job.withdrawn {
             if job.out().next().is_none() {
                 job.withdrawn = None;
--- a/src/ephemeral/gate/health.rs
+++ b/src/ephemeral/gate/health.rs
@@ -7,8 +7,17 @@
 /// Bad runs in the window from which the worker is suspect; a lone failure is
 /// usually the task's own.
 const SUSPECT_FROM: usize = 3;
-/// Weight of a new run in the means.
-const WEIGHT: f64 = 0.1;
+/// Weight of a new run in the mean run time.
+const MEAN_WEIGHT: f64 = 0.1;
+/// Least weight of a new run in the worker's usual slowness: estimates of single
+/// runs are off by 40%, speeds of workers differ by 25%.
+const USUAL_WEIGHT: f64 = 0.04;
+/// Weight of a new run in the slowness of late.
+const LATELY_WEIGHT: f64 = 0.3;
+/// How much slower than usual a worker must be of late for that to count.
+const SLOW_FROM: f64 = 1.8;
+/// Largest ratio of a run that counts.
+const MOST_RATIO: f64 = 10.0;
 /// Shortest run that says something of speed, in microseconds; below it the
 /// overhead of an order dominates.
 const LEAST_MEASURED_US: u64 = 10_000;
@@ -18,7 +27,9 @@
 pub(super) struct Health {
     recent: VecDeque<bool>,
     mean_run_us: f64,
-    slowness: f64,
+    usual: f64,
+    lately: f64,
+    measured: u32,
 }
 
 impl Default for Health {
@@ -26,7 +37,9 @@
         Health {
             recent: VecDeque::new(),
             mean_run_us: 0.0,
-            slowness: 1.0,
+            usual: 1.0,
+            lately: 1.0,
+            measured: 0,
         }
     }
 }
@@ -37,7 +50,7 @@
         self.push(true);
         self.mean_run_us = match self.mean_run_us {
             0.0 => run_us as f64,
-            mean => mean + WEIGHT * (run_us as f64 - mean),
+            mean => mean + MEAN_WEIGHT * (run_us as f64 - mean),
         };
         self.measure(run_us, expected_us);
     }
@@ -47,8 +60,18 @@
         if expected_us < LEAST_MEASURED_US {
             return;
         }
-        let ratio = run_us as f64 / expected_us as f64;
-        self.slowness += WEIGHT * (ratio.min(10.0) - self.slowness);
+        let ratio = (run_us as f64 / expected_us as f64).min(MOST_RATIO);
+        self.lately += LATELY_WEIGHT * (ratio - self.lately);
+        if self.is_slow() {
+            return;
+        }
+        self.measured += 1;
+        let weight = USUAL_WEIGHT.max(1.0 / f64::from(self.measured + 1));
+        self.usual += weight * (ratio - self.usual);
+    }
+
+    fn is_slow(&self) -> bool {
+        self.lately > self.usual * SLOW_FROM
     }
 
     /// A run failed or stalled.
@@ -74,6 +97,10 @@
     }
 
     pub fn slowness_percent(&self) -> u32 {
-        (self.slowness * 100.0) as u32
+        let slowness = match self.is_slow() {
+            true => self.lately,
+            false => self.usual,
+        };
+        (slowness * 100.0) as u32
     }
 }
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -37,6 +37,8 @@
 const HOLD_WAIT: Duration = Duration::from_millis(200);
 /// How long ends are kept for entries that reconnect.
 const KEEP_ENDS: Duration = Duration::from_secs(3);
+/// Part of its time so far that an overdue run is expected to take on.
+const OVERDUE_SHARE: u64 = 4;
 /// Pause before an order to stop is sent again.
 const STOP_AGAIN: Duration = Duration::from_millis(60);
 
@@ -323,11 +325,15 @@
             state: RunState::Queued { until_us },
         };
         self.runs.insert(run, record);
-        match self.closed() {
-            Some(reason) => self.end(now, run, RunEnd::NotRun(reason)),
-            None => {
-                self.queue.insert((until_us, run));
-            }
+        if let Some(reason) = self.closed() {
+            self.end(now, run, RunEnd::NotRun(reason));
+            return;
+        }
+        self.queue.insert((until_us, run));
+        self.load_changed = true;
+        if order.patience_us == 0 {
+            self.fill(now);
+            self.refuse_late(now);
         }
     }
 
@@ -536,7 +542,40 @@
         self.unclaimed.clear();
     }
 
-    fn load(&self, seen: u64) -> GateLoad {
+    /// Time until a run of the usual size would find room: when enough of the
+    /// present runs should have ended for all that waits and one more.
+    fn wait_us(&self, now: Moment) -> u64 {
+        let cpu = |run: &Run| run.needs.cpu_milli;
+        let out = self.runs.values().filter(|run| run.is_out());
+        let mut ends: Vec<(u64, u64)> = out.map(|run| (self.left_us(now, run), cpu(run))).collect();
+        let usual = ends.iter().map(|(_, cpu)| cpu).sum::<u64>() / ends.len().max(1) as u64;
+        let queued: u64 = self.queue.iter().map(|(_, run)| cpu(&self.runs[run])).sum();
+        let wanted = queued + usual;
+        let mut free = self.room.free().cpu_milli;
+        if free >= wanted {
+            return 0;
+        }
+        ends.sort_unstable();
+        for (left_us, cpu) in &ends {
+            free += cpu;
+            if free >= wanted {
+                return *left_us;
+            }
+        }
+        ends.last().map_or(0, |(left_us, _)| left_us * 2)
+    }
+
+    /// Time that a run is expected to go on; one that is overdue, for a share
+    /// of what it took so far.
+    fn left_us(&self, now: Moment, run: &Run) -> u64 {
+        let elapsed_us = now.mono_us.saturating_sub(run.since_us);
+        let expected_us = run.expected_us * u64::from(self.health.slowness_percent()) / 100;
+        expected_us
+            .saturating_sub(elapsed_us)
+            .max(elapsed_us / OVERDUE_SHARE)
+    }
+
+    fn load(&self, now: Moment, seen: u64) -> GateLoad {
         let queued = self.queue.iter().map(|(_, run)| self.runs[run].needs);
         let usable = self.closed().is_none()
             && self.unclaimed.is_empty()
@@ -548,6 +587,7 @@
                 false => Resources::default(),
             },
             queued_cpu_milli: queued.map(|needs| needs.cpu_milli).sum(),
+            wait_us: self.wait_us(now),
             mean_run_us: self.health.mean_run_us(),
             slowness_percent: self.health.slowness_percent(),
             suspect: self.health.suspect(),
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -10,9 +10,9 @@
 };
 use crate::time::{Moment, micros};
 
-/// Times the expected span after which a run that does not get on is stopped;
-/// honest runs take up to 2.5 times what callers guess.
-const STALL_FACTOR: f64 = 4.0;
+/// How many times slower than expected a run must get on to count as standing
+/// still: runs take up to four times their mean, and slow workers 6.5 times.
+const STALL_FACTOR: f64 = 12.0;
 /// Shortest time after which a run is judged, in microseconds.
 const LEAST_JUDGED_US: u64 = 60_000;
 
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -243,7 +243,7 @@
             })
             .collect();
         for (entry, seen) in connected {
-            let load = self.load(seen);
+            let load = self.load(now, seen);
             self.tell(&entry, ToEntry::Load(load));
         }
     }
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -85,7 +85,8 @@
     pub needs: Resources,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
-    /// Longest wait for room, in microseconds; refused afterwards.
+    /// Longest wait for room, in microseconds; refused afterwards, and at once
+    /// if it is 0.
     pub patience_us: u64,
     /// Run time that the entry expects on a worker of usual speed, in microseconds.
     pub expected_us: u64,
@@ -166,6 +167,8 @@
     pub free: Resources,
     /// Processor time wanted by runs that wait, in thousandths of a core.
     pub queued_cpu_milli: u64,
+    /// Time until the next run of usual size finds room, in microseconds.
+    pub wait_us: u64,
     /// Mean run time of recent runs, in microseconds; 0 if unknown.
     pub mean_run_us: u64,
     /// Run times against what entries expected, in percent.
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -17,11 +17,17 @@
 
 /// Mean run time of a gate that has none yet, in microseconds: the sites' mean.
 const UNKNOWN_MEAN_US: f64 = 200_000.0;
-/// Share of the expected run time by which scores are blurred.
-const NOISE: f64 = 0.15;
-/// Cost of a full worker against an empty one, as a share of the run time; it
-/// spreads the tasks of a job over workers.
-const CROWDING: f64 = 0.2;
+/// Most by which scores are blurred, in microseconds.
+const NOISE_US: f64 = 10_000.0;
+/// Cost of a full worker against an empty one, in microseconds; it spreads short
+/// tasks by free room, since a faster worker does not serve them better.
+const CROWDING_US: f64 = 60_000.0;
+/// Cost of a fast worker's room for a task that is short against its deadline,
+/// in microseconds; it keeps that room for long tasks.
+const FAST_ROOM_US: f64 = 40_000.0;
+/// Wait expected at a gate that was full against its load, in microseconds: a
+/// third of the sites' shortest work, as some run there ends soon.
+const FULL_WAIT_US: u64 = 20_000;
 /// How much longer a task takes away from its data, if nothing says so.
 const DEFAULT_FAR_FACTOR: f64 = 1.5;
 
@@ -79,6 +85,12 @@
         self.unseen.retain(|(_, sent, _)| *sent != run);
     }
 
+    /// The gate turned a run away for want of room, against its last load.
+    pub fn had_no_room(&mut self) {
+        self.load.free = Resources::default();
+        self.load.wait_us = self.load.wait_us.max(FULL_WAIT_US);
+    }
+
     /// Whether the gate takes work now.
     pub fn is_open(&self) -> bool {
         self.session.is_some() && self.load.worker.is_some() && !self.load.leaving
@@ -90,21 +102,26 @@
 
     /// Processor time wanted beyond what is free, with `needs` added.
     fn missing_cpu(&self, needs: &Resources) -> f64 {
-        let unseen: u64 = self.unseen.iter().map(|(.., sent)| sent.cpu_milli).sum();
-        let wanted = needs.cpu_milli + self.load.queued_cpu_milli + unseen;
+        let wanted = needs.cpu_milli + self.load.queued_cpu_milli + self.unseen_cpu();
         wanted as f64 - self.load.free.cpu_milli as f64
     }
 
+    fn unseen_cpu(&self) -> u64 {
+        self.unseen.iter().map(|(.., sent)| sent.cpu_milli).sum()
+    }
+
     fn wait_us(&self, needs: &Resources, capacity: &Resources) -> f64 {
         let missing = self.missing_cpu(needs);
         if missing <= 0.0 {
             return 0.0;
         }
+        let first_us = self.load.wait_us as f64;
+        let unseen = self.unseen_cpu() as f64;
         let mean_us = match self.load.mean_run_us {
             0 => UNKNOWN_MEAN_US,
             mean_us => mean_us as f64,
         };
-        missing * mean_us / capacity.cpu_milli.max(1) as f64
+        first_us + unseen * mean_us / capacity.cpu_milli.max(1) as f64
     }
 
     fn slowness(&self) -> f64 {
@@ -123,6 +140,8 @@
     pub constraints: &'a Constraints,
     /// Run time on a worker of usual speed, in microseconds.
     pub expected_us: u64,
+    /// Time left until the deadline, in microseconds.
+    pub left_us: u64,
 }
 
 impl Want<'_> {
@@ -176,10 +195,12 @@
             let far = self.far_from_data(want, worker);
             let run_us = want.expected_us as f64 * gate.slowness() * far;
             let wait_us = gate.wait_us(want.needs, &worker.capacity);
-            let free = gate.load.free.cpu_milli as f64 / worker.capacity.cpu_milli.max(1) as f64;
-            let crowding = (1.0 - free) * CROWDING;
-            let noise = self.rng.random::<f64>() * NOISE;
-            let score = wait_us + run_us * (1.0 + crowding + noise);
+            let risk = run_us / want.left_us.max(1) as f64;
+            let free = gate.load.free.cpu_milli.saturating_sub(gate.unseen_cpu()) as f64;
+            let used = 1.0 - free / worker.capacity.cpu_milli.max(1) as f64;
+            let noise_us = self.rng.random::<f64>() * NOISE_US;
+            let fast_us = FAST_ROOM_US * (1.0 - gate.slowness()) * (1.0 - risk).max(0.0);
+            let score = wait_us + run_us * risk + used * used * CROWDING_US + fast_us + noise_us;
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let choice = Choice {
                     gate: name.clone(),
