--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -44,6 +44,10 @@
 /// Gates with less room than they said that a task is turned away from before
 /// it waits at one.
 const MOST_BOUNCES: u32 = 3;
+/// Part of a job's patience that the wait expected at admission may take, at the
+/// most urgent priority; less urgent ones are refused earlier, so that waits
+/// stay short for all under overload.
+const ADMIT_SHARE: f64 = 0.7;
 /// Step of the run number after a worker rejected it as too low.
 const RUN_STEP: u32 = 16;
 
@@ -211,17 +215,39 @@
                 false => refused("no worker is known", COME_BACK_LATER_MS),
             });
         }
-        let open = self.gates.iter().filter(|(_, gate)| gate.is_open());
-        let Some(choice) = self.placer.choose(open, &want) else {
-            return Err(refused("no worker takes it now", COME_BACK_LATER_MS));
-        };
-        if choice.wait_us > job.patience_us(now.mono_us) {
-            let text = format!("no room within {} us", choice.wait_us);
+        let wait_us = self
+            .fits_whole(now, job)
+            .ok_or_else(|| refused("no worker takes it now", COME_BACK_LATER_MS))?;
+        let patience_us = job.patience_us(now.mono_us) as f64;
+        let share = ADMIT_SHARE / (1.0 + f64::from(job.route.priority));
+        if wait_us as f64 > patience_us * share {
+            let text = format!("no room within {wait_us} us");
             return Err(refused(&text, COME_BACK_MS));
         }
         Ok(())
     }
 
+    /// The longest wait that a task of the job would have if all were placed
+    /// now; none if some would find no gate.
+    fn fits_whole(&mut self, now: Moment, job: &Job) -> Option<u64> {
+        let mut waits = Vec::new();
+        for index in 0..job.spec.count {
+            let choice = self.choose(now, job, index);
+            let Some(choice) = choice else {
+                break;
+            };
+            if let Some(gate) = self.gates.get_mut(&choice.gate) {
+                gate.reserve(job.spec.needs);
+            }
+            waits.push(choice.wait_us);
+        }
+        for gate in self.gates.values_mut() {
+            gate.release_reserved();
+        }
+        let whole = waits.len() == job.spec.count as usize;
+        whole.then(|| waits.into_iter().max().unwrap_or(0))
+    }
+
     /// Sends the tasks of a job that are at no gate.
     fn place(&mut self, now: Moment, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
@@ -244,9 +270,18 @@
     /// Sends one task to the gate where it would end first; `false` if no gate
     /// would begin it in time.
     fn place_task(&mut self, now: Moment, id: JobId, index: u32) -> bool {
-        let Some(choice) = self.choose(now, id, index) else {
+        let Some(job) = self.jobs.remove(&id) else {
+            return true;
+        };
+        let choice = self.choose(now, &job, index);
+        self.jobs.insert(id, job);
+        let Some(choice) = choice else {
             return false;
         };
+        if self.gates[&choice.gate].load.suspect {
+            let next_us = now.mono_us + micros(gates::PROBE_PAUSE);
+            self.probes.insert(choice.gate.clone(), next_us);
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             return true;
         };
@@ -282,6 +317,7 @@
                 true => 0,
                 false => patience_us,
             },
+            due_us: job.latest_begin_us().saturating_sub(now.mono_us),
             expected_us: job.expected_us,
             number: gate.count(run, job.spec.needs),
         };
@@ -294,8 +330,7 @@
         true
     }
 
-    fn choose(&mut self, now: Moment, id: JobId, index: u32) -> Option<Choice> {
-        let job = self.jobs.get(&id)?;
+    fn choose(&mut self, now: Moment, job: &Job, index: u32) -> Option<Choice> {
         let task = job.tasks.get(index as usize)?;
         let most = job.spec.constraints.most_on_worker as usize;
         let crowded = |name: &Arc<str>| {
@@ -313,13 +348,7 @@
                 && !task.avoid.contains(name)
         };
         let open = self.gates.iter().filter(allowed);
-        let choice = self.placer.choose(open, &want(now, job))?;
-        let chosen = self.gates.get(&choice.gate)?;
-        if chosen.load.suspect {
-            let next_us = now.mono_us + micros(gates::PROBE_PAUSE);
-            self.probes.insert(choice.gate.clone(), next_us);
-        }
-        Some(choice)
+        self.placer.choose(open, &want(now, job))
     }
 
     fn place_backlog(&mut self, now: Moment) {
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -39,6 +39,9 @@
 const KEEP_ENDS: Duration = Duration::from_secs(3);
 /// Part of its time so far that an overdue run is expected to take on.
 const OVERDUE_SHARE: u64 = 4;
+/// Unanswered orders in a row from which the worker counts as mute; single ones
+/// get lost.
+const MUTE_FROM: u32 = 2;
 /// Pause before an order to stop is sent again.
 const STOP_AGAIN: Duration = Duration::from_millis(60);
 
@@ -82,8 +85,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunState {
-    /// Waits for room until `until_us`.
-    Queued { until_us: u64 },
+    /// Waits for room until `until_us`; should begin by `due_us`.
+    Queued { due_us: u64, until_us: u64 },
     /// Claimed by its entry before the worker's lists came.
     Claimed,
     /// Ordered; no answer yet.
@@ -148,6 +151,8 @@
     hold_pending: bool,
     check_pending: bool,
     check_wanted: bool,
+    /// Orders in a row that the worker did not answer.
+    misses: u32,
     leaving: bool,
     load_changed: bool,
     load_sent_us: u64,
@@ -175,6 +180,7 @@
             hold_pending: false,
             check_pending: false,
             check_wanted: false,
+            misses: 0,
             leaving: false,
             load_changed: false,
             load_sent_us: 0,
@@ -244,6 +250,7 @@
         info!(self.log, "worker found"; "worker" => &report.id, "addr" => &report.addr,
             "cpu_milli" => report.capacity.cpu_milli, "leaving" => report.leaving);
         self.life_is_over(now, "another life reported");
+        self.misses = 0;
         self.life = Some(Life::new(report.traits(), now));
         self.room.resize(report.capacity);
         self.health = Health::default();
@@ -282,6 +289,29 @@
         }
     }
 
+    /// Whether the worker lets orders go unanswered, one after the other.
+    fn is_mute(&self) -> bool {
+        self.misses >= MUTE_FROM
+    }
+
+    /// The worker answered, or let one more order go unanswered.
+    fn note_answer(&mut self, now: Moment, answered: bool) {
+        let before = self.is_mute();
+        self.misses = match answered {
+            true => 0,
+            false => self.misses + 1,
+        };
+        self.check_wanted |= !answered;
+        if self.is_mute() == before {
+            return;
+        }
+        info!(self.log, "worker answers"; "answers" => before, "misses" => self.misses);
+        self.load_changed = true;
+        if !before {
+            self.refuse_queued(now, NotRunReason::NoWorker);
+        }
+    }
+
     /// Why no run can begin here now.
     fn closed(&self) -> Option<NotRunReason> {
         if self.leaving {
@@ -290,6 +320,7 @@
         match &self.life {
             None => Some(NotRunReason::NoWorker),
             Some(life) if life.leaving => Some(NotRunReason::Leaving),
+            Some(_) if self.is_mute() => Some(NotRunReason::NoWorker),
             Some(_) => None,
         }
     }
@@ -315,6 +346,7 @@
             );
             return;
         }
+        let due_us = now.mono_us + order.due_us;
         let until_us = now.mono_us + order.patience_us;
         let record = Run {
             owner,
@@ -322,14 +354,14 @@
             payload: order.payload,
             expected_us: order.expected_us,
             since_us: now.mono_us,
-            state: RunState::Queued { until_us },
+            state: RunState::Queued { due_us, until_us },
         };
         self.runs.insert(run, record);
         if let Some(reason) = self.closed() {
             self.end(now, run, RunEnd::NotRun(reason));
             return;
         }
-        self.queue.insert((until_us, run));
+        self.queue.insert((due_us, run));
         self.load_changed = true;
         if order.patience_us == 0 {
             self.fill(now);
@@ -359,13 +391,13 @@
             return;
         }
         let waiting: Vec<(u64, RunId)> = self.queue.iter().copied().collect();
-        for (until_us, run) in waiting {
+        for (due_us, run) in waiting {
             let busy = self.health.suspect() && self.runs.values().any(Run::is_out);
             let needs = self.runs[&run].needs;
             if busy || !self.room.take(run, needs) {
                 continue;
             }
-            self.queue.remove(&(until_us, run));
+            self.queue.remove(&(due_us, run));
             self.order(now, run);
         }
     }
@@ -395,8 +427,8 @@
             return;
         };
         let began = match record.state {
-            RunState::Queued { until_us } => {
-                self.queue.remove(&(until_us, run));
+            RunState::Queued { due_us, .. } => {
+                self.queue.remove(&(due_us, run));
                 self.end(now, run, RunEnd::NotRun(NotRunReason::Withdrawn));
                 return;
             }
@@ -474,12 +506,15 @@
     }
 
     fn refuse_late(&mut self, now: Moment) {
-        while let Some((until_us, run)) = self.queue.first().copied() {
-            if until_us > now.mono_us {
-                break;
-            }
-            self.queue.pop_first();
-            self.end(now, run, RunEnd::NotRun(NotRunReason::NoRoom));
+        let late = |run: &RunId| {
+            let state = self.runs.get(run).map(|record| record.state);
+            matches!(state, Some(RunState::Queued { until_us, .. }) if until_us <= now.mono_us)
+        };
+        let waiting = self.queue.iter().copied();
+        let late: Vec<(u64, RunId)> = waiting.filter(|(_, run)| late(run)).collect();
+        for key in late {
+            self.queue.remove(&key);
+            self.end(now, key.1, RunEnd::NotRun(NotRunReason::NoRoom));
         }
     }
 
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -29,6 +29,7 @@
         {
             life.heard_clock(now, clock_ms);
         }
+        self.note_answer(now, answer.is_ok());
         let starting = self
             .runs
             .get(&run)
@@ -64,6 +65,7 @@
 
     /// The worker answered an order to stop, or did not.
     pub fn stop_answered(&mut self, now: Moment, run: RunId, answer: Result<(), OrderError>) {
+        self.note_answer(now, answer.is_ok());
         match answer {
             Ok(()) => {
                 self.check_wanted = true;
@@ -83,11 +85,12 @@
     /// has to be confirmed.
     pub(super) fn ask_for_lists(&mut self, now: Moment) {
         let lease = self.limits.lease;
+        let mute = self.is_mute();
         let Some(life) = &mut self.life else {
             return;
         };
         let lease_until = |life: &mut super::Life| {
-            let renews = life.has_clock() && life.listed;
+            let renews = life.has_clock() && life.listed && !mute;
             renews.then(|| life.lease_until(now, lease))
         };
         if !self.hold_pending {
@@ -96,7 +99,7 @@
                 worker: Some(life.id()),
                 lease_until_ms: lease_until(life),
                 last_seen: life.last_seen,
-                wait_ms: match life.listed {
+                wait_ms: match life.listed && !mute {
                     true => HOLD_WAIT.as_millis() as u64,
                     false => 0,
                 },
@@ -133,6 +136,7 @@
         if current != call.worker {
             return;
         }
+        self.note_answer(now, answer.is_ok());
         match answer {
             Ok(reply) => self.listed(now, sent, reply),
             Err(OrderError::OtherLife) => self.life_is_over(now, "another life answered"),
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -88,6 +88,9 @@
     /// Longest wait for room, in microseconds; refused afterwards, and at once
     /// if it is 0.
     pub patience_us: u64,
+    /// Time until it should begin for its objective, in microseconds; orders the
+    /// queue.
+    pub due_us: u64,
     /// Run time that the entry expects on a worker of usual speed, in microseconds.
     pub expected_us: u64,
     /// Place in the entry's count of starts in this session.
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -46,6 +46,8 @@
     pub sent: u64,
     /// Starts that the last load does not contain: their number and needs.
     unseen: VecDeque<(u64, RunId, Resources)>,
+    /// Processor time of tasks that are only thought to be placed here.
+    reserved_cpu_milli: u64,
 }
 
 impl GateView {
@@ -58,6 +60,7 @@
             load: GateLoad::default(),
             sent: 0,
             unseen: VecDeque::new(),
+            reserved_cpu_milli: 0,
         }
     }
 
@@ -80,6 +83,16 @@
         self.sent
     }
 
+    /// Counts a task that is only thought to be placed here.
+    pub fn reserve(&mut self, needs: Resources) {
+        self.reserved_cpu_milli += needs.cpu_milli;
+    }
+
+    /// Forgets such tasks.
+    pub fn release_reserved(&mut self) {
+        self.reserved_cpu_milli = 0;
+    }
+
     /// A run that was sent is over.
     pub fn over(&mut self, run: RunId) {
         self.unseen.retain(|(_, sent, _)| *sent != run);
@@ -107,7 +120,8 @@
     }
 
     fn unseen_cpu(&self) -> u64 {
-        self.unseen.iter().map(|(.., sent)| sent.cpu_milli).sum()
+        let sent = self.unseen.iter().map(|(.., sent)| sent.cpu_milli);
+        sent.sum::<u64>() + self.reserved_cpu_milli
     }
 
     fn wait_us(&self, needs: &Resources, capacity: &Resources) -> f64 {
