Prove at-most-once of best-effort jobs in virtual time; fix an end taken for a waiting run

Ruled out: the guard that refused jobs just after a suspension; no test noticed its removal, since sessions have lapsed by then. It is gone; the log line stays.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -12,6 +12,7 @@
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{ProcessId, ToEntry, ToGate};
 use crate::ephemeral::session::{SessionEvent, SessionId, Sessions};
+use crate::ephemeral::suspension::Suspension;
 use crate::ephemeral::worker::{
     HoldCall, HoldReply, OrderError, OrderedWorker, StartAnswer, WorkerReport,
 };
@@ -116,12 +117,16 @@
     /// Runs until it was asked to leave and nothing runs any more.
     pub async fn run(mut self) {
         let mut ticks = self.parts.timer.every(TICK);
+        let mut suspension = Suspension::new(self.parts.timer.now());
         loop {
             let event = tokio::select! {
                 event = self.rx.recv() => event,
                 tick = ticks.recv() => tick.and(None),
             };
             let now = self.parts.timer.now();
+            if let Some(gap) = suspension.turn(now) {
+                warn!(self.parts.log, "process stood still"; "gap_ms" => gap.as_millis() as u64);
+            }
             if let Some(event) = event {
                 self.handle(now, event);
             }
--- a/src/ephemeral/entry.rs
+++ b/src/ephemeral/entry.rs
@@ -18,6 +18,7 @@
 use crate::ephemeral::message::{ConfigDocument, ProcessId, ToEntry, ToGate};
 use crate::ephemeral::routes::{Route, RouteTable};
 use crate::ephemeral::session::{SessionEvent, SessionId, Sessions, dial};
+use crate::ephemeral::suspension::Suspension;
 use crate::error::Result;
 use crate::message::Answer;
 use crate::metrics::Metrics;
@@ -26,18 +27,11 @@
 
 /// How often the dispatcher is told that time has passed.
 const TICK: Duration = Duration::from_millis(10);
-/// A loop that did not turn for so long was suspended: callers whose requests
-/// were read just after it may have given up meanwhile.
-const SUSPENDED: Duration = Duration::from_millis(300);
-/// How long after a suspension new jobs are refused.
-const WARY: Duration = Duration::from_millis(100);
 /// Pause before a gate is dialed again.
 const REDIAL: Duration = Duration::from_millis(100);
 /// How long a gate without a record is still dialed (the users' letter: two
 /// seconds after the store is back).
 const MISSING: Duration = Duration::from_secs(2);
-/// When a caller should come back to an entry that was suspended.
-const WARY_COME_BACK_MS: u64 = 200;
 
 /// Reads a configuration document.
 pub trait ConfigReader: Send + Sync {
@@ -195,8 +189,7 @@
     view: Arc<Mutex<View>>,
     tx: UnboundedSender<Event>,
     rx: UnboundedReceiver<Event>,
-    turned_us: u64,
-    wary_until_us: u64,
+    suspension: Suspension,
     beat_us: u64,
 }
 
@@ -230,8 +223,7 @@
             view,
             tx,
             rx,
-            turned_us: parts.timer.now().mono_us,
-            wary_until_us: 0,
+            suspension: Suspension::new(parts.timer.now()),
             beat_us: 0,
             parts,
         };
@@ -288,11 +280,8 @@
     }
 
     fn notice_suspension(&mut self, now: Moment) {
-        let gap_us = now.mono_us.saturating_sub(self.turned_us);
-        self.turned_us = now.mono_us;
-        if gap_us > micros(SUSPENDED) {
-            warn!(self.parts.log, "process was suspended"; "gap_us" => gap_us);
-            self.wary_until_us = now.after(WARY);
+        if let Some(gap) = self.suspension.turn(now) {
+            warn!(self.parts.log, "process stood still"; "gap_ms" => gap.as_millis() as u64);
         }
     }
 
@@ -332,13 +321,6 @@
     }
 
     fn submit(&mut self, now: Moment, submit: Submit) {
-        if now.mono_us < self.wary_until_us {
-            let why = "the entry was suspended";
-            info!(self.parts.log, "job refused"; "job" => %submit.spec.id, "why" => why);
-            let answer = Answer::not_run(ResultCode::Overloaded, why);
-            let _ = submit.reply.send(answer.retry_after(WARY_COME_BACK_MS));
-            return;
-        }
         self.replies.insert(submit.waiter, submit.reply);
         let (spec, route) = (submit.spec, submit.route);
         self.dispatcher
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -283,8 +283,8 @@
     }
 
     fn refuse_queued(&mut self, now: Moment, reason: NotRunReason) {
-        let waiting = std::mem::take(&mut self.queue);
-        for (_, run) in waiting {
+        let waiting: Vec<RunId> = self.queue.iter().map(|(_, run)| *run).collect();
+        for run in waiting {
             self.end(now, run, RunEnd::NotRun(reason));
         }
     }
@@ -427,8 +427,7 @@
             return;
         };
         let began = match record.state {
-            RunState::Queued { due_us, .. } => {
-                self.queue.remove(&(due_us, run));
+            RunState::Queued { .. } => {
                 self.end(now, run, RunEnd::NotRun(NotRunReason::Withdrawn));
                 return;
             }
@@ -458,6 +457,9 @@
         let Some(record) = self.runs.remove(&run) else {
             return;
         };
+        if let RunState::Queued { due_us, .. } = record.state {
+            self.queue.remove(&(due_us, run));
+        }
         self.room.give_back(run);
         let run_us = match end {
             RunEnd::NotRun(_) => 0,
@@ -510,11 +512,10 @@
             let state = self.runs.get(run).map(|record| record.state);
             matches!(state, Some(RunState::Queued { until_us, .. }) if until_us <= now.mono_us)
         };
-        let waiting = self.queue.iter().copied();
-        let late: Vec<(u64, RunId)> = waiting.filter(|(_, run)| late(run)).collect();
-        for key in late {
-            self.queue.remove(&key);
-            self.end(now, key.1, RunEnd::NotRun(NotRunReason::NoRoom));
+        let waiting = self.queue.iter().map(|(_, run)| *run);
+        let late: Vec<RunId> = waiting.filter(late).collect();
+        for run in late {
+            self.end(now, run, RunEnd::NotRun(NotRunReason::NoRoom));
         }
     }
 
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -197,15 +197,18 @@
         if let Some(life) = &mut self.life {
             life.last_seen = life.last_seen.max(row.number);
         }
-        let stalled = self.runs.get(&row.run).is_some_and(|record| {
-            matches!(
-                record.state,
-                RunState::Stopping {
-                    cause: StopCause::Stalled,
-                    ..
-                }
-            )
-        });
+        let state = self.runs.get(&row.run).map(|record| record.state);
+        if matches!(state, Some(RunState::Queued { .. })) {
+            info!(self.log, "end of an earlier run of that name"; "run" => %row.run);
+            return;
+        }
+        let stalled = matches!(
+            state,
+            Some(RunState::Stopping {
+                cause: StopCause::Stalled,
+                ..
+            })
+        );
         let end = match row.end {
             WorkerEnd::Done => RunEnd::Done,
             WorkerEnd::Failed => RunEnd::Failed,
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -10,7 +10,8 @@
 //! - [`job`], [`routes`]: what is asked for, and what the configuration allows.
 //! - [`dispatcher`]: the entry's decisions; [`placement`] chooses gates.
 //! - [`gate`]: the decisions beside a worker; [`room`] counts its capacity.
-//! - [`message`], [`session`]: what entries and gates say, and how it travels.
+//! - [`message`], [`session`]: what entries and gates say, and how it travels;
+//!   [`suspension`]: what a process does that stood still.
 //! - [`directory`]: how processes find one another through the store.
 //! - [`entry`], [`agent`]: the loops around the decisions.
 
@@ -26,4 +27,5 @@
 pub mod room;
 pub mod routes;
 pub mod session;
+pub mod suspension;
 pub mod worker;
--- a/src/ephemeral/session.rs
+++ b/src/ephemeral/session.rs
@@ -51,13 +51,14 @@
 }
 
 /// Tells how long frames were under way.
-#[derive(Debug, Default)]
-struct FrameClock {
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FrameClock {
     least_offset_us: Option<i64>,
 }
 
 impl FrameClock {
-    fn age_us(&mut self, now: Moment, sent_us: u64) -> u64 {
+    /// Age in microseconds of a frame sent at `sent_us` on its sender's clock.
+    pub fn age_us(&mut self, now: Moment, sent_us: u64) -> u64 {
         let offset_us = now.mono_us as i64 - sent_us as i64;
         let least_us = self.least_offset_us.unwrap_or(offset_us).min(offset_us);
         self.least_offset_us = Some(least_us);
--- /dev/null
+++ b/tests/ephemeral_fleet/worker.rs
@@ -0,0 +1,160 @@
+//! A worker in virtual time: runs what it is told, under a lease on its own clock.
+
+use std::collections::{BTreeMap, HashMap};
+
+use winghold::ephemeral::job::{JobId, Resources, RunId};
+use winghold::ephemeral::worker::{
+    EndedRow, HoldCall, HoldReply, RunningRow, StartCall, StartReply, WorkerEnd,
+};
+
+/// How long a worker takes to stop a run.
+const STOP_US: u64 = 50_000;
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    started_us: u64,
+    work_us: u64,
+    stop_at_us: Option<u64>,
+}
+
+pub struct FakeWorker {
+    pub id: String,
+    pub up: bool,
+    /// Lets orders go unanswered and does nothing.
+    pub mute_until_us: u64,
+    /// Runs stand still.
+    pub hung: bool,
+    pub capacity: Resources,
+    rate: f64,
+    running: BTreeMap<RunId, Running>,
+    barred: HashMap<(JobId, u32), u32>,
+    ended: Vec<EndedRow>,
+    numbers: u64,
+    lease_until_ms: u64,
+}
+
+impl FakeWorker {
+    pub fn new(id: String, capacity: Resources, rate: f64) -> FakeWorker {
+        FakeWorker {
+            id,
+            up: true,
+            mute_until_us: 0,
+            hung: false,
+            capacity,
+            rate,
+            running: BTreeMap::new(),
+            barred: HashMap::new(),
+            ended: Vec::new(),
+            numbers: 0,
+            lease_until_ms: 0,
+        }
+    }
+
+    pub fn clock_ms(&self, now_us: u64) -> u64 {
+        (now_us as f64 * self.rate / 1_000.0) as u64 + 1_000
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = RunId> {
+        self.running.keys().copied()
+    }
+
+    pub fn runs(&self, job: JobId, index: u32) -> bool {
+        self.running
+            .keys()
+            .any(|run| (run.job, run.index) == (job, index))
+    }
+
+    pub fn crash(&mut self, next_id: String) {
+        let (capacity, rate) = (self.capacity, self.rate);
+        *self = FakeWorker::new(next_id, capacity, rate);
+    }
+
+    /// Lets time pass: ends, stops and lapsed leases.
+    pub fn advance(&mut self, now_us: u64) {
+        let lapsed = self.clock_ms(now_us) > self.lease_until_ms;
+        let mut over = Vec::new();
+        for (run, state) in &self.running {
+            let done = now_us >= state.started_us + state.work_us && !self.hung;
+            let stopped = state.stop_at_us.is_some_and(|at| now_us >= at);
+            match (done, stopped, lapsed) {
+                (true, ..) => over.push((*run, WorkerEnd::Done)),
+                (_, true, _) => over.push((*run, WorkerEnd::Stopped)),
+                (_, _, true) => over.push((*run, WorkerEnd::Lapsed)),
+                _ => {}
+            }
+        }
+        for (run, end) in over {
+            self.running.remove(&run);
+            self.bar(run);
+            self.numbers += 1;
+            let number = self.numbers;
+            self.ended.push(EndedRow { number, run, end });
+        }
+    }
+
+    fn bar(&mut self, run: RunId) {
+        let highest = self.barred.entry((run.job, run.index)).or_default();
+        *highest = run.run.max(*highest);
+    }
+
+    /// Carries a start out; `true` if a new run began.
+    pub fn start(&mut self, now_us: u64, call: &StartCall, work_us: u64) -> (StartReply, bool) {
+        if *call.worker != *self.id {
+            return (StartReply::OtherLife, false);
+        }
+        if self.running.contains_key(&call.run) {
+            return (StartReply::Running, false);
+        }
+        let highest = self.barred.get(&(call.run.job, call.run.index));
+        if highest.is_some_and(|highest| *highest >= call.run.run) {
+            return (StartReply::Old, false);
+        }
+        if call.lease_until_ms <= self.clock_ms(now_us) {
+            return (StartReply::Rejected, false);
+        }
+        self.lease_until_ms = self.lease_until_ms.max(call.lease_until_ms);
+        let running = Running {
+            started_us: now_us,
+            work_us,
+            stop_at_us: None,
+        };
+        self.running.insert(call.run, running);
+        (StartReply::Running, true)
+    }
+
+    pub fn stop(&mut self, now_us: u64, run: RunId) {
+        match self.running.get_mut(&run) {
+            Some(running) => {
+                running.stop_at_us.get_or_insert(now_us + STOP_US);
+            }
+            None => self.bar(run),
+        }
+    }
+
+    pub fn hold(&mut self, now_us: u64, call: &HoldCall) -> HoldReply {
+        if let Some(until_ms) = call.lease_until_ms {
+            self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        }
+        self.ended.retain(|row| row.number > call.last_seen);
+        let percent = |state: &Running| {
+            let elapsed = now_us.saturating_sub(state.started_us) * 100;
+            match self.hung {
+                true => 0,
+                false => (elapsed / state.work_us.max(1)).min(99) as u32,
+            }
+        };
+        let running = self.running.iter().map(|(run, state)| RunningRow {
+            run: *run,
+            percent: percent(state),
+        });
+        HoldReply {
+            clock_ms: self.clock_ms(now_us),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    pub fn has_ended_since(&self, last_seen: u64) -> bool {
+        self.ended.iter().any(|row| row.number > last_seen)
+    }
+}
--- /dev/null
+++ b/tests/ephemeral_gate.rs
@@ -0,0 +1,480 @@
+//! The gate beside a worker, one decision at a time.
+
+use winghold::ephemeral::gate::{Gate, GateAction};
+use winghold::ephemeral::job::{JobId, Resources, RunId};
+use winghold::ephemeral::limits::Limits;
+use winghold::ephemeral::message::{
+    NotRunReason, OpenRun, ProcessId, RunEnd, StartOrder, ToEntry, ToGate,
+};
+use winghold::ephemeral::session::SessionId;
+use winghold::ephemeral::worker::{
+    EndedRow, HoldCall, HoldReply, OrderError, RunningRow, StartAnswer, StartReply, WorkerEnd,
+    WorkerReport,
+};
+use winghold::logging;
+use winghold::time::Moment;
+
+const ENTRY: SessionId = SessionId(1);
+const MS: u64 = 1_000;
+
+struct Bench {
+    gate: Gate,
+    now: Moment,
+    actions: Vec<GateAction>,
+    sent: u64,
+}
+
+fn resources(cpu_milli: u64) -> Resources {
+    Resources {
+        cpu_milli,
+        memory_mb: 10,
+        accelerators: 0,
+    }
+}
+
+fn process(name: &str, incarnation: u64) -> ProcessId {
+    ProcessId {
+        name: name.into(),
+        incarnation,
+    }
+}
+
+fn run(job: u64) -> RunId {
+    RunId {
+        job: JobId(job),
+        index: 0,
+        run: 1,
+    }
+}
+
+fn report(id: &str, leaving: bool, sequence: u64) -> WorkerReport {
+    WorkerReport {
+        id: id.to_string(),
+        service: "s".into(),
+        addr: "10.0.0.1:80".into(),
+        leaving,
+        leaves_in_ms: None,
+        capacity: Resources {
+            cpu_milli: 1_000,
+            memory_mb: 1_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        clock_ms: 5_000,
+        sequence,
+    }
+}
+
+impl Bench {
+    /// A gate whose worker was found, without its lists yet.
+    fn unlisted() -> Bench {
+        let limits = Limits::new(
+            std::time::Duration::from_millis(1_300),
+            std::time::Duration::from_secs(1),
+            std::time::Duration::from_millis(50),
+        );
+        let gate = Gate::new(process("g", 1), limits, logging::discard());
+        let now = Moment {
+            mono_us: 1_000_000,
+            wall_ms: 0,
+        };
+        let mut bench = Bench {
+            gate,
+            now,
+            actions: Vec::new(),
+            sent: 0,
+        };
+        bench.gate.worker_report(bench.now, report("w", false, 1));
+        bench.collect();
+        bench
+    }
+
+    /// A gate with an empty worker and a connected entry.
+    fn ready() -> Bench {
+        let mut bench = Bench::unlisted();
+        bench.lists(Vec::new(), Vec::new());
+        bench.hello(Vec::new());
+        bench.actions.clear();
+        bench
+    }
+
+    fn hello(&mut self, open: Vec<OpenRun>) {
+        let hello = ToGate::Hello {
+            entry: process("e", 1),
+            config: 0,
+            open,
+        };
+        self.gate.message(self.now, ENTRY, hello);
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        let actions = self.gate.take_actions(self.now);
+        self.actions.extend(actions);
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now.mono_us += ms * MS;
+        self.gate.tick(self.now);
+        self.collect();
+    }
+
+    fn order(&mut self, run: RunId, cpu_milli: u64, patience_ms: u64) {
+        self.sent += 1;
+        let order = StartOrder {
+            run,
+            payload: "p".into(),
+            needs: resources(cpu_milli),
+            priority: 0,
+            patience_us: patience_ms * MS,
+            due_us: patience_ms * MS,
+            expected_us: 100 * MS,
+            number: self.sent,
+        };
+        let message = ToGate::Start(Box::new(order));
+        self.gate.message(self.now, ENTRY, message);
+        self.gate.heard(self.now, ENTRY);
+        self.collect();
+    }
+
+    fn started(&mut self, run: RunId, answer: Result<StartReply, OrderError>) {
+        let answer = answer.map(|reply| StartAnswer {
+            reply,
+            clock_ms: Some(5_100),
+        });
+        self.gate.start_answered(self.now, run, answer);
+        self.collect();
+    }
+
+    fn stopped(&mut self, run: RunId, answer: Result<(), OrderError>) {
+        self.gate.stop_answered(self.now, run, answer);
+        self.collect();
+    }
+
+    /// The worker lists what runs and what ended.
+    fn lists(&mut self, running: Vec<(RunId, u32)>, ended: Vec<(u64, RunId, WorkerEnd)>) {
+        let call = HoldCall {
+            worker: Some("w".into()),
+            lease_until_ms: None,
+            last_seen: 0,
+            wait_ms: 200,
+            check: false,
+        };
+        let running = running
+            .into_iter()
+            .map(|(run, percent)| RunningRow { run, percent });
+        let ended = ended
+            .into_iter()
+            .map(|(number, run, end)| EndedRow { number, run, end });
+        let reply = HoldReply {
+            clock_ms: 5_000,
+            running: running.collect(),
+            ended: ended.collect(),
+        };
+        let sent = self.now;
+        self.gate.hold_answered(self.now, sent, &call, Ok(reply));
+        self.collect();
+    }
+
+    fn ordered(&self) -> Vec<RunId> {
+        let starts = self.actions.iter().filter_map(|action| match action {
+            GateAction::Start(call) => Some(call.run),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    fn stops(&self) -> Vec<RunId> {
+        let stops = self.actions.iter().filter_map(|action| match action {
+            GateAction::Stop { run, .. } => Some(*run),
+            _ => None,
+        });
+        stops.collect()
+    }
+
+    fn ends(&self) -> Vec<(RunId, RunEnd)> {
+        let ends = self.actions.iter().filter_map(|action| match action {
+            GateAction::Send {
+                message: ToEntry::Ended { run, end, .. },
+                ..
+            } => Some((*run, *end)),
+            _ => None,
+        });
+        ends.collect()
+    }
+}
+
+#[test]
+fn what_fits_is_ordered_and_the_rest_waits() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.order(run(2), 600, 100);
+    assert_eq!(bench.ordered(), [run(1)]);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.lists(Vec::new(), vec![(1, run(1), WorkerEnd::Done)]);
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Done)]);
+    assert_eq!(bench.ordered(), [run(1), run(2)]);
+}
+
+#[test]
+fn a_full_gate_turns_away_at_once_who_does_not_wait() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.order(run(2), 600, 0);
+    assert_eq!(
+        bench.ends(),
+        [(run(2), RunEnd::NotRun(NotRunReason::NoRoom))]
+    );
+}
+
+#[test]
+fn who_waited_too_long_never_began() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.order(run(2), 600, 50);
+    bench.pass(60);
+    let late = (run(2), RunEnd::NotRun(NotRunReason::NoRoom));
+    assert!(bench.ends().contains(&late));
+}
+
+#[test]
+fn an_unanswered_start_keeps_its_room_until_it_is_barred_and_listed() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.order(run(2), 600, 400);
+    bench.started(run(1), Err(OrderError::Unanswered));
+    assert_eq!(bench.stops(), [run(1)]);
+    bench.lists(Vec::new(), Vec::new());
+    assert_eq!(bench.ordered(), [run(1)], "not barred yet");
+    bench.pass(5);
+    bench.stopped(run(1), Ok(()));
+    assert_eq!(bench.ordered(), [run(1)], "not listed since");
+    bench.pass(5);
+    bench.lists(Vec::new(), Vec::new());
+    let end = RunEnd::NotRun(NotRunReason::Unanswered);
+    assert_eq!(bench.ends(), [(run(1), end)]);
+    assert_eq!(bench.ordered(), [run(1), run(2)]);
+}
+
+#[test]
+fn a_start_whose_answer_was_lost_goes_on_if_the_list_shows_it() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.lists(vec![(run(1), 10)], Vec::new());
+    bench.started(run(1), Err(OrderError::Unanswered));
+    assert!(bench.stops().is_empty());
+    bench.lists(Vec::new(), vec![(1, run(1), WorkerEnd::Done)]);
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Done)]);
+}
+
+#[test]
+fn a_stop_that_is_not_answered_is_sent_again() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    let message = ToGate::Stop { run: run(1) };
+    bench.gate.message(bench.now, ENTRY, message);
+    bench.collect();
+    bench.pass(70);
+    assert_eq!(bench.stops(), [run(1), run(1)]);
+}
+
+#[test]
+fn the_runs_of_a_silent_entry_are_stopped() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.pass(450);
+    assert!(bench.stops().is_empty());
+    bench.pass(20);
+    assert_eq!(bench.stops(), [run(1)]);
+    let closed = bench
+        .actions
+        .iter()
+        .any(|action| matches!(action, GateAction::Close(ENTRY)));
+    assert!(closed);
+}
+
+#[test]
+fn an_entry_that_comes_back_in_time_keeps_its_runs() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.gate.session_closed(ENTRY);
+    bench.pass(200);
+    let open = OpenRun {
+        run: run(1),
+        needs: resources(600),
+        expected_us: 100 * MS,
+    };
+    bench.hello(vec![open]);
+    assert!(bench.stops().is_empty());
+}
+
+#[test]
+fn what_a_returning_entry_does_not_name_is_stopped() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.gate.session_closed(ENTRY);
+    bench.hello(Vec::new());
+    assert_eq!(bench.stops(), [run(1)]);
+}
+
+#[test]
+fn a_new_gate_takes_nothing_before_the_runs_it_found_are_claimed_or_over() {
+    let mut bench = Bench::unlisted();
+    bench.lists(vec![(run(7), 30)], Vec::new());
+    bench.hello(Vec::new());
+    bench.order(run(1), 100, 2_000);
+    assert!(bench.ordered().is_empty());
+    bench.pass(300);
+    assert!(bench.stops().is_empty(), "its entry may still come");
+    bench.gate.heard(bench.now, ENTRY);
+    bench.pass(200);
+    assert_eq!(bench.stops(), [run(7)]);
+    bench.lists(Vec::new(), vec![(1, run(7), WorkerEnd::Stopped)]);
+    assert_eq!(bench.ordered(), [run(1)]);
+}
+
+#[test]
+fn a_new_gate_gives_a_claimed_run_back_to_its_entry() {
+    let mut bench = Bench::unlisted();
+    bench.lists(vec![(run(7), 30)], Vec::new());
+    let open = OpenRun {
+        run: run(7),
+        needs: resources(600),
+        expected_us: 100 * MS,
+    };
+    bench.hello(vec![open]);
+    bench.order(run(1), 600, 300);
+    assert!(bench.ordered().is_empty(), "the claimed run holds its room");
+    bench.lists(Vec::new(), vec![(1, run(7), WorkerEnd::Done)]);
+    assert_eq!(bench.ends(), [(run(7), RunEnd::Done)]);
+    assert_eq!(bench.ordered(), [run(1)]);
+}
+
+#[test]
+fn a_claimed_run_that_is_not_listed_is_barred_before_it_counts_as_not_run() {
+    let mut bench = Bench::unlisted();
+    let open = OpenRun {
+        run: run(7),
+        needs: resources(600),
+        expected_us: 100 * MS,
+    };
+    bench.hello(vec![open]);
+    bench.lists(Vec::new(), Vec::new());
+    assert!(bench.ends().is_empty());
+    assert_eq!(bench.stops(), [run(7)]);
+    bench.stopped(run(7), Ok(()));
+    bench.pass(5);
+    bench.lists(Vec::new(), Vec::new());
+    let end = RunEnd::NotRun(NotRunReason::Unanswered);
+    assert_eq!(bench.ends(), [(run(7), end)]);
+}
+
+#[test]
+fn a_mute_worker_gets_no_orders_and_its_runs_end_with_their_lease() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 100, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.order(run(2), 100, 100);
+    bench.started(run(2), Err(OrderError::Unanswered));
+    bench.stopped(run(2), Err(OrderError::Unanswered));
+    bench.order(run(3), 100, 100);
+    let end = RunEnd::NotRun(NotRunReason::NoWorker);
+    assert_eq!(bench.ends(), [(run(3), end)]);
+    for _ in 0..8 {
+        bench.gate.heard(bench.now, ENTRY);
+        bench.pass(100);
+    }
+    let stopped = (run(1), RunEnd::Stopped);
+    assert!(bench.ends().contains(&stopped), "{:?}", bench.ends());
+}
+
+#[test]
+fn a_leaving_worker_gets_nothing_and_finishes_what_it_has() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.order(run(2), 600, 100);
+    bench.gate.worker_report(bench.now, report("w", true, 2));
+    bench.collect();
+    bench.order(run(3), 100, 100);
+    let leaving = RunEnd::NotRun(NotRunReason::Leaving);
+    assert_eq!(bench.ends(), [(run(2), leaving), (run(3), leaving)]);
+    assert!(bench.stops().is_empty());
+    bench.lists(Vec::new(), vec![(1, run(1), WorkerEnd::Done)]);
+    assert!(bench.ends().contains(&(run(1), RunEnd::Done)));
+}
+
+#[test]
+fn a_report_that_was_overtaken_changes_nothing() {
+    let mut bench = Bench::ready();
+    bench.gate.worker_report(bench.now, report("w", false, 5));
+    bench.gate.worker_report(bench.now, report("w", true, 3));
+    bench.order(run(1), 100, 100);
+    assert_eq!(bench.ordered(), [run(1)]);
+}
+
+#[test]
+fn what_ran_on_an_earlier_life_of_the_worker_is_over() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.gate.worker_report(bench.now, report("w2", false, 1));
+    bench.collect();
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+}
+
+/// Found by 6,000 cases of `ephemeral_safety`: the end of an earlier run of the same name
+/// ended a run that still waited, and left it in the queue.
+#[test]
+fn the_end_of_an_earlier_run_of_that_name_does_not_end_one_that_waits() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 500);
+    bench.order(run(2), 600, 500);
+    bench.lists(Vec::new(), vec![(1, run(2), WorkerEnd::Done)]);
+    assert!(bench.ends().is_empty());
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.lists(Vec::new(), vec![(2, run(1), WorkerEnd::Done)]);
+    assert_eq!(bench.ordered(), [run(1), run(2)]);
+}
+
+#[test]
+fn a_task_that_is_here_already_is_not_started_for_another_entry() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 100, 100);
+    let second = RunId { run: 2, ..run(1) };
+    bench.order(second, 100, 100);
+    let end = RunEnd::NotRun(NotRunReason::Rejected);
+    assert_eq!(bench.ends(), [(second, end)]);
+}
+
+#[test]
+fn a_run_that_stands_still_is_stopped_and_named_stalled() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    for _ in 0..3 {
+        bench.pass(100);
+        bench.gate.heard(bench.now, ENTRY);
+    }
+    bench.lists(vec![(run(1), 0)], Vec::new());
+    assert_eq!(bench.stops(), [run(1)]);
+    bench.lists(Vec::new(), vec![(1, run(1), WorkerEnd::Stopped)]);
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stalled)]);
+}
+
+#[test]
+fn a_long_run_that_gets_on_is_left_alone() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    for _ in 0..3 {
+        bench.pass(100);
+        bench.gate.heard(bench.now, ENTRY);
+        bench.lists(vec![(run(1), 30)], Vec::new());
+    }
+    assert!(bench.stops().is_empty());
+}
--- /dev/null
+++ b/tests/ephemeral_safety.rs
@@ -0,0 +1,158 @@
+//! Best-effort jobs under arbitrary failures: no task runs twice at a time, no
+//! worker is over its capacity, and a refusal is true.
+
+mod ephemeral_fleet;
+
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use bolero::generator::bolero_generator::driver::{ByteSliceDriver, Options};
+use ephemeral_fleet::{Fleet, Without, limits};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use winghold::ephemeral::limits::Limits;
+
+/// Cases in CI; more are played by setting `EPHEMERAL_CASES`.
+const CASES: u64 = 150;
+/// Happenings of a case.
+const LENGTH: usize = 40;
+
+/// One thing that happens.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Happening {
+    Submit(u8),
+    SubmitMany(u8),
+    KillEntry(u8),
+    KillGate(u8),
+    FreezeEntry(u8, u8),
+    FreezeGate(u8, u8),
+    CutEntry(u8, u8),
+    CutGate(u8, u8),
+    Reset(u8),
+    CrashWorker(u8),
+    MuteWorker(u8, u8),
+    HangWorker(u8),
+    LoseOrders,
+    AnswerOrders,
+    Restart,
+    Wait(u8),
+}
+
+fn apply(fleet: &mut Fleet, happening: Happening) {
+    let pick = |which: u8| usize::from(which % 3);
+    let span = |length: u8| u64::from(length) * 12_000;
+    match happening {
+        Happening::Submit(kind) => fleet.submit(u32::from(kind % 4) + 1, 200_000),
+        Happening::SubmitMany(count) => {
+            for _ in 0..count % 8 {
+                fleet.submit(3, 100_000);
+            }
+        }
+        Happening::KillEntry(which) => fleet.kill_entry(pick(which)),
+        Happening::KillGate(which) => fleet.kill_gate(pick(which)),
+        Happening::FreezeEntry(which, length) => fleet.freeze_entry(pick(which), span(length)),
+        Happening::FreezeGate(which, length) => fleet.freeze_gate(pick(which), span(length)),
+        Happening::CutEntry(which, length) => fleet.cut_entry(pick(which), span(length)),
+        Happening::CutGate(which, length) => fleet.cut_gate(pick(which), span(length)),
+        Happening::Reset(which) => fleet.reset_connections(pick(which)),
+        Happening::CrashWorker(which) => fleet.crash_worker(pick(which)),
+        Happening::MuteWorker(which, length) => {
+            let until_us = fleet.now_us + span(length);
+            fleet.workers[pick(which)].mute_until_us = until_us;
+        }
+        Happening::HangWorker(which) => {
+            let worker = &mut fleet.workers[pick(which)];
+            worker.hung = !worker.hung;
+        }
+        Happening::LoseOrders => fleet.unanswered = 30,
+        Happening::AnswerOrders => fleet.unanswered = 0,
+        Happening::Restart => restart(fleet),
+        Happening::Wait(length) => fleet.run_for(u64::from(length) * 4_000),
+    }
+    fleet.run_for(u64::from(ephemeral_fleet::STEP_US as u32) * 4);
+}
+
+fn restart(fleet: &mut Fleet) {
+    for index in 0..3 {
+        fleet.start_entry(index);
+        fleet.start_gate(index);
+    }
+}
+
+/// Plays one case and returns its fleet.
+fn play(seed: u64, limits: Limits, without: Without) -> Fleet {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let bytes: Vec<u8> = (0..4_096).map(|_| rng.random()).collect();
+    let mut driver = ByteSliceDriver::new(&bytes, &Options::default());
+    let mut fleet = Fleet::new(seed, limits, without);
+    for _ in 0..LENGTH {
+        let Some(happening) = Happening::generate(&mut driver) else {
+            break;
+        };
+        apply(&mut fleet, happening);
+    }
+    fleet
+}
+
+/// Mends everything and lets the fleet come to rest.
+fn settle(fleet: &mut Fleet) {
+    fleet.unanswered = 0;
+    for worker in &mut fleet.workers {
+        worker.hung = false;
+    }
+    restart(fleet);
+    fleet.run_for(20_000_000);
+}
+
+fn cases() -> u64 {
+    let given = std::env::var("EPHEMERAL_CASES").ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or(CASES)
+}
+
+#[test]
+fn promises_hold_under_arbitrary_failures() {
+    let mut starts = 0;
+    let mut completed = 0;
+    for seed in 0..cases() {
+        let mut fleet = play(seed, limits(), Without::default());
+        settle(&mut fleet);
+        assert_eq!(fleet.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(fleet.unanswered_jobs(), 0, "seed {seed}");
+        assert!(fleet.running().is_empty(), "seed {seed}");
+        starts += fleet.starts;
+        completed += fleet.completed;
+    }
+    assert!(starts > 1_000, "{starts} starts");
+    assert!(completed > 300, "{completed} completed");
+}
+
+/// Whether some case breaks a promise.
+fn breaks(limits: Limits, without: Without) -> bool {
+    (0..CASES * 4).any(|seed| !play(seed, limits, without).violations.is_empty())
+}
+
+#[test]
+fn a_lease_longer_than_the_resend_pause_lets_runs_overlap() {
+    let longer = Limits {
+        lease: Duration::from_millis(3_000),
+        ..limits()
+    };
+    assert!(!longer.keep_runs_apart());
+    assert!(breaks(longer, Without::default()));
+}
+
+#[test]
+fn a_silence_longer_than_the_resend_pause_lets_runs_overlap() {
+    let longer = Limits {
+        silence: Duration::from_millis(3_000),
+        ..limits()
+    };
+    assert!(!longer.keep_runs_apart());
+    assert!(breaks(longer, Without::default()));
+}
+
+#[test]
+fn a_frame_that_was_held_up_must_not_be_acted_on() {
+    let without = Without { frame_age: true };
+    assert!(breaks(limits(), without));
+}
