--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -36,17 +36,19 @@
 use life::Life;
 use sessions::Owner;
 
-/// Wait of a hold for an end; a lease outlives two of them.
-const HOLD_WAIT: Duration = Duration::from_millis(200);
 /// How long ends are kept for entries that reconnect.
 const KEEP_ENDS: Duration = Duration::from_secs(3);
 /// Part of its time so far that an overdue run is expected to take on.
 const OVERDUE_SHARE: u64 = 4;
-/// Unanswered orders in a row from which the worker counts as mute; single ones
-/// get lost.
-const MUTE_FROM: u32 = 2;
-/// Pause before an order to stop is sent again.
-const STOP_AGAIN: Duration = Duration::from_millis(60);
+/// Unanswered orders in a row from which the worker counts as mute, if it has
+/// been silent for [`MUTE_AFTER`] too; single ones get lost.
+const MUTE_FROM: u32 = 3;
+/// Silence after which a worker counts as mute: three lost orders one after the
+/// other take this long.
+const MUTE_AFTER: Duration = Duration::from_millis(120);
+/// Pause before an order to stop is sent again whose answer got lost with an
+/// earlier life of the worker's connection.
+const STOP_AGAIN: Duration = Duration::from_millis(160);
 
 /// What a gate asks of the process around it.
 #[derive(Clone, Debug)]
@@ -152,6 +154,8 @@
     check_wanted: bool,
     /// Orders in a row that the worker did not answer.
     misses: u32,
+    /// When it last answered one.
+    answered_us: u64,
     leaving: bool,
     load_changed: bool,
     load_sent_us: u64,
@@ -181,6 +185,7 @@
             check_pending: false,
             check_wanted: false,
             misses: 0,
+            answered_us: 0,
             leaving: false,
             load_changed: false,
             load_sent_us: 0,
@@ -266,6 +271,7 @@
 
     fn adopt_life(&mut self, now: Moment, traits: WorkerTraits, addr: &str) {
         self.misses = 0;
+        self.answered_us = now.mono_us;
         self.room.resize(traits.capacity);
         self.life = Some(Life::new(traits, now));
         self.health = Health::default();
@@ -304,37 +310,42 @@
     }
 
     /// Whether the worker lets orders go unanswered, one after the other.
-    fn is_mute(&self) -> bool {
-        self.misses >= MUTE_FROM
+    fn is_mute(&self, now: Moment) -> bool {
+        self.misses >= MUTE_FROM && now.mono_us > self.answered_us + micros(MUTE_AFTER)
     }
 
     /// The worker answered, or let one more order go unanswered.
     fn note_answer(&mut self, now: Moment, answered: bool) {
-        let before = self.is_mute();
-        self.misses = match answered {
-            true => 0,
-            false => self.misses + 1,
-        };
-        self.check_wanted |= !answered;
-        if self.is_mute() == before {
-            return;
+        let before = self.is_mute(now);
+        match answered {
+            true => {
+                self.misses = 0;
+                self.answered_us = now.mono_us;
+            }
+            false => {
+                self.misses += 1;
+                self.check_wanted = true;
+            }
         }
-        info!(self.log, "worker answers"; "answers" => before, "misses" => self.misses);
-        self.load_changed = true;
-        if !before {
+        let mute = self.is_mute(now);
+        if mute != before {
+            info!(self.log, "worker answers"; "answers" => !mute);
+            self.load_changed = true;
+        }
+        if mute {
             self.refuse_queued(now, NotRunReason::NoWorker);
         }
     }
 
     /// Why no run can begin here now.
-    fn closed(&self) -> Option<NotRunReason> {
+    fn closed(&self, now: Moment) -> Option<NotRunReason> {
         if self.leaving {
             return Some(NotRunReason::Leaving);
         }
         match &self.life {
             None => Some(NotRunReason::NoWorker),
             Some(life) if life.leaving => Some(NotRunReason::Leaving),
-            Some(_) if self.is_mute() => Some(NotRunReason::NoWorker),
+            Some(_) if self.is_mute(now) => Some(NotRunReason::NoWorker),
             Some(_) => None,
         }
     }
@@ -371,7 +382,7 @@
             state: RunState::Queued { due_us, until_us },
         };
         self.runs.insert(run, record);
-        if let Some(reason) = self.closed() {
+        if let Some(reason) = self.closed(now) {
             self.end(now, run, RunEnd::NotRun(reason));
             return;
         }
@@ -400,7 +411,7 @@
 
     /// Begins what fits, in the order of the latest begin.
     fn fill(&mut self, now: Moment) {
-        let open = self.closed().is_none() && self.unclaimed.is_empty();
+        let open = self.closed(now).is_none() && self.unclaimed.is_empty();
         if !open || !self.life.as_ref().is_some_and(Life::ready) {
             return;
         }
@@ -631,7 +642,7 @@
 
     fn load(&self, now: Moment, seen: u64) -> GateLoad {
         let queued = self.queue.iter().map(|(_, run)| self.runs[run].needs);
-        let usable = self.closed().is_none()
+        let usable = self.closed(now).is_none()
             && self.unclaimed.is_empty()
             && self.life.as_ref().is_some_and(Life::ready);
         GateLoad {
@@ -645,7 +656,7 @@
             mean_run_us: self.health.mean_run_us(),
             slowness_percent: self.health.slowness_percent(),
             suspect: self.health.suspect(),
-            leaving: self.closed().is_some(),
+            leaving: self.closed(now).is_some(),
             seen,
         }
     }
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -1,8 +1,10 @@
 //! What the worker answers: starts, stops, and the lists of what runs and ended.
 
+use std::time::Duration;
+
 use slog::{debug, info, warn};
 
-use super::{Gate, GateAction, HOLD_WAIT, RunState, StopCause};
+use super::{Gate, GateAction, RunState, StopCause};
 use crate::ephemeral::job::RunId;
 use crate::ephemeral::message::{NotRunReason, RunEnd, ToEntry};
 use crate::ephemeral::worker::{
@@ -10,6 +12,11 @@
 };
 use crate::time::{Moment, micros};
 
+/// Wait of a hold for an end while something runs: a hold may be lost, and no end
+/// is seen until the next one.
+const BUSY_WAIT: Duration = Duration::from_millis(50);
+/// Wait of a hold while nothing runs.
+const IDLE_WAIT: Duration = Duration::from_millis(200);
 /// How many times slower than expected a run must get on to count as standing
 /// still: runs take up to four times their mean, and slow workers 6.5 times.
 const STALL_FACTOR: f64 = 12.0;
@@ -83,7 +90,24 @@
             }
             Err(OrderError::OtherLife) => self.life_is_over(now, "another life answered"),
             Err(OrderError::Refused) => self.life_is_over(now, "nothing listens"),
-            Err(err) => debug!(self.log, "stop unanswered"; "run" => %run, "error" => %err),
+            Err(err) => {
+                debug!(self.log, "stop unanswered"; "run" => %run, "error" => %err);
+                self.stop_unanswered(now, run);
+            }
+        }
+    }
+
+    /// Sends an order to stop again, if it is still wanted.
+    fn stop_unanswered(&mut self, now: Moment, run: RunId) {
+        if let Some(record) = self.runs.get_mut(&run)
+            && let RunState::Stopping {
+                acked_us: None,
+                asked_us,
+                ..
+            } = &mut record.state
+        {
+            *asked_us = now.mono_us;
+            self.send_stop(run);
         }
     }
 
@@ -91,10 +115,17 @@
     /// has to be confirmed.
     pub(super) fn ask_for_lists(&mut self, now: Moment) {
         let lease = self.limits.lease;
-        let mute = self.is_mute();
+        let mute = self.is_mute(now);
+        let busy = !self.runs.is_empty();
         let Some(life) = &mut self.life else {
             return;
         };
+        let wait = match (life.listed && !mute, busy) {
+            (false, _) => Duration::ZERO,
+            (true, true) => BUSY_WAIT,
+            (true, false) => IDLE_WAIT,
+        };
+        let wait_ms = wait.as_millis() as u64;
         let lease_until = |life: &mut super::Life| {
             let renews = life.has_clock() && life.listed && !mute;
             renews.then(|| life.lease_until(now, lease))
@@ -105,10 +136,8 @@
                 worker: Some(life.id()),
                 lease_until_ms: lease_until(life),
                 last_seen: life.last_seen,
-                wait_ms: match life.listed && !mute {
-                    true => HOLD_WAIT.as_millis() as u64,
-                    false => 0,
-                },
+                wait_ms,
+                limit: self.answers.limit(),
                 check: false,
             };
             self.actions.push(GateAction::Hold(call));
@@ -120,6 +149,7 @@
                 lease_until_ms: None,
                 last_seen: life.last_seen,
                 wait_ms: 0,
+                limit: self.answers.limit(),
                 check: true,
             };
             self.actions.push(GateAction::Hold(call));
--- a/src/ephemeral/worker.rs
+++ b/src/ephemeral/worker.rs
@@ -100,6 +100,8 @@
     pub last_seen: u64,
     /// How long the answer may wait for an end, in milliseconds.
     pub wait_ms: u64,
+    /// Longest wait for the answer beyond that.
+    pub limit: Duration,
     /// Whether it only confirms a stop, beside the hold that waits for ends.
     pub check: bool,
 }
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -158,6 +158,7 @@
             lease_until_ms: None,
             last_seen: 0,
             wait_ms: 200,
+            limit: std::time::Duration::from_millis(25),
             check: false,
         };
         let running = running
@@ -268,14 +269,14 @@
 }
 
 #[test]
-fn a_stop_that_is_not_answered_is_sent_again() {
+fn a_stop_that_is_not_answered_is_sent_again_at_once() {
     let mut bench = Bench::ready();
     bench.order(run(1), 600, 100);
     bench.started(run(1), Ok(StartReply::Running));
     let message = ToGate::Stop { run: run(1) };
     bench.gate.message(bench.now, ENTRY, message);
     bench.collect();
-    bench.pass(70);
+    bench.stopped(run(1), Err(OrderError::Unanswered));
     assert_eq!(bench.stops(), [run(1), run(1)]);
 }
 
@@ -379,8 +380,10 @@
     bench.order(run(1), 100, 100);
     bench.started(run(1), Ok(StartReply::Running));
     bench.order(run(2), 100, 100);
+    bench.pass(130);
     bench.started(run(2), Err(OrderError::Unanswered));
     bench.stopped(run(2), Err(OrderError::Unanswered));
+    bench.stopped(run(2), Err(OrderError::Unanswered));
     bench.order(run(3), 100, 100);
     let end = RunEnd::NotRun(NotRunReason::NoWorker);
     assert_eq!(bench.ends(), [(run(3), end)]);
