--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -45,9 +45,11 @@
 /// it waits at one.
 const MOST_BOUNCES: u32 = 3;
 /// Part of a job's patience that the wait expected at admission may take, at the
-/// most urgent priority; less urgent ones are refused earlier, so that waits
-/// stay short for all under overload.
-const ADMIT_SHARE: f64 = 0.7;
+/// most urgent priority; the rest is for estimates that are off.
+const URGENT_ADMIT_SHARE: f64 = 0.85;
+/// The same at the other priorities: under overload they are refused first, and
+/// waits stay short for those that are taken.
+const ADMIT_SHARE: f64 = 0.15;
 /// Step of the run number after a worker rejected it as too low.
 const RUN_STEP: u32 = 16;
 
@@ -219,7 +221,10 @@
             .fits_whole(now, job)
             .ok_or_else(|| refused("no worker takes it now", COME_BACK_LATER_MS))?;
         let patience_us = job.patience_us(now.mono_us) as f64;
-        let share = ADMIT_SHARE / (1.0 + f64::from(job.route.priority));
+        let share = match job.route.priority {
+            0 => URGENT_ADMIT_SHARE,
+            _ => ADMIT_SHARE,
+        };
         if wait_us as f64 > patience_us * share {
             let text = format!("no room within {wait_us} us");
             return Err(refused(&text, COME_BACK_MS));
