--- a/src/ephemeral/gate/answers.rs
+++ b/src/ephemeral/gate/answers.rs
@@ -12,27 +12,34 @@
 const PATIENCE: f64 = 8.0;
 /// Weight of a new answer in the usual one.
 const WEIGHT: f64 = 0.1;
+/// Missing answers in a row that are put down to lost orders; from then on the
+/// worker may have become slow, and the wait doubles with each.
+const LOST_IN_A_ROW: u32 = 3;
 
 /// The usual time of an answer.
 #[derive(Debug, Default)]
 pub(super) struct AnswerTimes {
     usual_us: f64,
+    missing: u32,
 }
 
 impl AnswerTimes {
     /// An order was answered after `took_us`.
     pub fn learn(&mut self, took_us: u64) {
+        self.missing = 0;
         self.usual_us += WEIGHT * (took_us as f64 - self.usual_us);
     }
 
-    /// An order was not answered: the worker may have become slower.
+    /// An order was not answered in time.
     pub fn missed(&mut self) {
-        let waited_us = self.limit().as_micros() as f64;
-        self.usual_us += WEIGHT * (waited_us - self.usual_us);
+        self.missing += 1;
     }
 
     /// How long to wait for the next answer.
     pub fn limit(&self) -> Duration {
-        Duration::from_micros((self.usual_us * PATIENCE) as u64).clamp(LEAST, MOST)
+        let usual = Duration::from_micros((self.usual_us * PATIENCE) as u64);
+        let doublings = self.missing.saturating_sub(LOST_IN_A_ROW).min(3);
+        let wait = usual.max(LEAST) * 2u32.pow(doublings);
+        wait.min(MOST)
     }
 }
