--- a/src/ephemeral/gate/health.rs
+++ b/src/ephemeral/gate/health.rs
@@ -1,6 +1,9 @@
 //! How the worker does: run times against expectation, failures, stalls.
 
 use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::time::{Moment, micros};
 
 /// Runs that are looked back on.
 const WINDOW: usize = 8;
@@ -14,6 +17,10 @@
 const USUAL_WEIGHT: f64 = 0.04;
 /// Weight of a new run in the slowness of late.
 const LATELY_WEIGHT: f64 = 0.3;
+/// Weight of a new measure of the pace; there is one in 30 ms.
+const PACE_WEIGHT: f64 = 0.4;
+/// How long a worker counts as slow after the last sign of it.
+const FORGET: Duration = Duration::from_secs(1);
 /// How much slower than usual a worker must be of late for that to count.
 const SLOW_FROM: f64 = 1.8;
 /// Largest ratio of a run that counts.
@@ -27,9 +34,14 @@
 pub(super) struct Health {
     recent: VecDeque<bool>,
     mean_run_us: f64,
+    /// Run time against expectation, over many runs.
     usual: f64,
+    /// The same over the last few runs.
     lately: f64,
+    /// The same as running ones get on now.
+    pace: f64,
     measured: u32,
+    heard_us: u64,
 }
 
 impl Default for Health {
@@ -39,15 +51,18 @@
             mean_run_us: 0.0,
             usual: 1.0,
             lately: 1.0,
+            pace: 1.0,
             measured: 0,
+            heard_us: 0,
         }
     }
 }
 
 impl Health {
     /// A run was finished.
-    pub fn finished(&mut self, run_us: u64, expected_us: u64) {
+    pub fn finished(&mut self, now: Moment, run_us: u64, expected_us: u64) {
         self.push(true);
+        self.heard_us = now.mono_us;
         self.mean_run_us = match self.mean_run_us {
             0.0 => run_us as f64,
             mean => mean + MEAN_WEIGHT * (run_us as f64 - mean),
@@ -56,7 +71,7 @@
     }
 
     /// A run took, or will take, `run_us` where `expected_us` was expected.
-    pub fn measure(&mut self, run_us: u64, expected_us: u64) {
+    fn measure(&mut self, run_us: u64, expected_us: u64) {
         if expected_us < LEAST_MEASURED_US {
             return;
         }
@@ -70,8 +85,37 @@
         self.usual += weight * (ratio - self.usual);
     }
 
-    fn is_slow(&self) -> bool {
-        self.lately > self.usual * SLOW_FROM
+    /// Runs get on at this slowness now.
+    pub fn paced(&mut self, now: Moment, slowness: f64) {
+        self.heard_us = now.mono_us;
+        self.pace += PACE_WEIGHT * (slowness.min(MOST_RATIO) - self.pace);
+    }
+
+    /// Forgets that the worker was slow if nothing tells so any more, so that it
+    /// is tried again.
+    pub fn forget_old(&mut self, now: Moment) {
+        if now.mono_us > self.heard_us + micros(FORGET) {
+            self.lately = self.usual;
+            self.pace = self.usual;
+        }
+    }
+
+    /// Whether the worker is much slower now than it usually is.
+    pub fn is_slow(&self) -> bool {
+        self.lately.max(self.pace) > self.usual * SLOW_FROM
+    }
+
+    /// Run time against expectation, over many runs.
+    pub fn usual(&self) -> f64 {
+        self.usual
+    }
+
+    /// Run time against expectation now.
+    pub fn slowness(&self) -> f64 {
+        match self.is_slow() {
+            true => self.lately.max(self.pace),
+            false => self.usual,
+        }
     }
 
     /// A run failed or stalled.
@@ -97,10 +141,6 @@
     }
 
     pub fn slowness_percent(&self) -> u32 {
-        let slowness = match self.is_slow() {
-            true => self.lately,
-            false => self.usual,
-        };
-        (slowness * 100.0) as u32
+        (self.slowness() * 100.0) as u32
     }
 }
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -12,6 +12,7 @@
 mod answers;
 mod health;
 mod life;
+mod pace;
 mod progress;
 mod sessions;
 
@@ -34,6 +35,7 @@
 use answers::AnswerTimes;
 use health::Health;
 use life::Life;
+use pace::Mark;
 use sessions::Owner;
 
 /// How long ends are kept for entries that reconnect.
@@ -113,6 +115,8 @@
     expected_us: u64,
     since_us: u64,
     state: RunState,
+    /// How far it was at the last look.
+    mark: Option<Mark>,
 }
 
 impl Run {
@@ -380,6 +384,7 @@
             expected_us: order.expected_us,
             since_us: now.mono_us,
             state: RunState::Queued { due_us, until_us },
+            mark: None,
         };
         self.runs.insert(run, record);
         if let Some(reason) = self.closed(now) {
@@ -437,6 +442,7 @@
             "free_cpu_milli" => self.room.free().cpu_milli);
         record.state = RunState::Starting;
         record.since_us = now.mono_us;
+        record.mark = Some(Mark::new(now.mono_us, 0));
         self.load_changed = true;
         self.actions.push(GateAction::Start(StartCall {
             worker: life.id(),
@@ -495,7 +501,7 @@
             _ => now.mono_us.saturating_sub(record.since_us),
         };
         match end {
-            RunEnd::Done => self.health.finished(run_us, record.expected_us),
+            RunEnd::Done => self.health.finished(now, run_us, record.expected_us),
             RunEnd::Failed | RunEnd::Stalled => self.health.went_wrong(),
             _ => {}
         }
@@ -534,6 +540,7 @@
         self.stop_again(now);
         self.end_lapsed(now);
         self.forget_past(now);
+        self.health.forget_old(now);
     }
 
     fn refuse_late(&mut self, now: Moment) {
--- /dev/null
+++ b/src/ephemeral/gate/pace.rs
@@ -0,0 +1,138 @@
+//! How fast runs get on, from how far the worker says they are.
+//!
+//! A worker that turns slow shows it in every list, long before its runs end.
+//! What would end much sooner elsewhere is stopped, and its entry moves it.
+
+use std::time::Duration;
+
+use slog::info;
+
+use super::{Gate, Run, RunState, StopCause};
+use crate::ephemeral::job::RunId;
+use crate::ephemeral::worker::RunningRow;
+use crate::time::{Moment, micros};
+
+/// Least time between two looks at a run; a run of 60 ms makes half its way.
+const LOOK: Duration = Duration::from_millis(30);
+/// Runs that a measure of the worker's pace needs: run times of single ones are
+/// guessed wrong by half.
+const FEWEST_RUNS: usize = 3;
+/// Time without any progress after which a run counts as standing still; the
+/// longest runs of the sites make a percent in 36 ms.
+const STILL: Duration = Duration::from_millis(120);
+/// Cost of moving a run, in microseconds: the stop takes up to 50 ms.
+const MOVE_US: f64 = 80_000.0;
+/// Times its run time elsewhere that what is left of a run must take here
+/// before it is moved.
+const MOVE_FACTOR: f64 = 1.3;
+
+/// How far a run was when it was last looked at.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Mark {
+    at_us: u64,
+    percent: u32,
+    /// Since when it has made no progress.
+    still_since_us: u64,
+}
+
+impl Mark {
+    pub fn new(at_us: u64, percent: u32) -> Mark {
+        Mark {
+            at_us,
+            percent,
+            still_since_us: at_us,
+        }
+    }
+}
+
+/// What one list says of the worker's pace.
+#[derive(Default)]
+struct Pace {
+    runs: usize,
+    wall_us: f64,
+    work_us: f64,
+}
+
+impl Run {
+    /// Compares how far the run is with the last look; `None` if that was too
+    /// short ago.
+    fn look(&mut self, now: Moment, percent: u32) -> Option<(f64, f64)> {
+        let Some(mark) = &mut self.mark else {
+            self.mark = Some(Mark::new(now.mono_us, percent));
+            return None;
+        };
+        let wall_us = now.mono_us.saturating_sub(mark.at_us);
+        if wall_us < micros(LOOK) {
+            return None;
+        }
+        let gained = percent.saturating_sub(mark.percent);
+        if gained > 0 {
+            mark.still_since_us = now.mono_us;
+        }
+        mark.at_us = now.mono_us;
+        mark.percent = percent;
+        let work_us = f64::from(gained) / 100.0 * self.expected_us as f64;
+        Some((wall_us as f64, work_us))
+    }
+
+    fn stands_still(&self, now: Moment) -> bool {
+        let since_us = self.mark.map_or(now.mono_us, |mark| mark.still_since_us);
+        now.mono_us > since_us + micros(STILL)
+    }
+
+    /// Time that the run needs on a worker of the given slowness, in microseconds.
+    fn left_at(&self, slowness: f64) -> f64 {
+        let done = self.mark.map_or(0, |mark| mark.percent.min(100));
+        f64::from(100 - done) / 100.0 * self.expected_us as f64 * slowness
+    }
+}
+
+impl Gate {
+    /// Learns from how far runs are; stops those that do not get on.
+    pub(super) fn watch_pace(&mut self, now: Moment, running: &[RunningRow]) {
+        let mut pace = Pace::default();
+        for row in running {
+            let Some(record) = self.runs.get_mut(&row.run) else {
+                continue;
+            };
+            if record.state != RunState::Running {
+                continue;
+            }
+            if let Some((wall_us, work_us)) = record.look(now, row.percent) {
+                pace.runs += 1;
+                pace.wall_us += wall_us;
+                pace.work_us += work_us;
+            }
+        }
+        if pace.runs >= FEWEST_RUNS {
+            self.health.paced(now, pace.wall_us / pace.work_us.max(1.0));
+        }
+        for run in self.to_move(now) {
+            self.stop(now, run, StopCause::Stalled);
+        }
+    }
+
+    /// Runs that stand still, or that would end much sooner elsewhere.
+    fn to_move(&self, now: Moment) -> Vec<RunId> {
+        let (here, usual) = (self.health.slowness(), self.health.usual());
+        let slow = self.health.is_slow();
+        let too_slow = |record: &Run| {
+            let elsewhere_us = record.expected_us as f64 * usual * MOVE_FACTOR + MOVE_US;
+            slow && record.left_at(here) > elsewhere_us
+        };
+        let running = self
+            .runs
+            .iter()
+            .filter(|(_, record)| record.state == RunState::Running);
+        let found = running.filter(|(_, record)| record.stands_still(now) || too_slow(record));
+        found
+            .map(|(run, record)| {
+                info!(self.log, "run does not get on"; "run" => %run,
+                    "percent" => record.mark.map(|mark| mark.percent),
+                    "elapsed_us" => now.mono_us.saturating_sub(record.since_us),
+                    "expected_us" => record.expected_us, "slowness" => here, "usual" => usual);
+                *run
+            })
+            .collect()
+    }
+}
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -17,12 +17,6 @@
 const BUSY_WAIT: Duration = Duration::from_millis(50);
 /// Wait of a hold while nothing runs.
 const IDLE_WAIT: Duration = Duration::from_millis(200);
-/// How many times slower than expected a run must get on to count as standing
-/// still: runs take up to four times their mean, and slow workers 6.5 times.
-const STALL_FACTOR: f64 = 12.0;
-/// Shortest time after which a run is judged, in microseconds.
-const LEAST_JUDGED_US: u64 = 60_000;
-
 impl Gate {
     /// The worker answered a start, or did not.
     pub fn start_answered(
@@ -198,7 +192,8 @@
         self.unclaimed
             .retain(|run, _| reply.running.iter().any(|row| row.run == *run));
         self.confirm_stops(now, sent, &reply.running);
-        self.watch_progress(now, &reply.running);
+        self.see_running(&reply.running);
+        self.watch_pace(now, &reply.running);
     }
 
     fn find_unclaimed(&mut self, now: Moment, running: &[RunningRow]) {
@@ -254,6 +249,18 @@
         self.end(now, row.run, end);
     }
 
+    /// Takes note of runs whose starts were not answered yet, or in vain.
+    fn see_running(&mut self, running: &[RunningRow]) {
+        for row in running {
+            let state = self.runs.get_mut(&row.run).map(|record| &mut record.state);
+            match state {
+                Some(RunState::Starting) => self.began(row.run),
+                Some(RunState::Stopping { began, .. }) => *began = true,
+                _ => {}
+            }
+        }
+    }
+
     /// Ends the runs that were barred and are on no list made after that.
     fn confirm_stops(&mut self, now: Moment, sent: Moment, running: &[RunningRow]) {
         let gone: Vec<(RunId, bool)> = self
@@ -277,43 +284,4 @@
             self.end(now, run, end);
         }
     }
-
-    /// Learns from how far runs are; stops those that do not get on.
-    fn watch_progress(&mut self, now: Moment, running: &[RunningRow]) {
-        let mut stalled = Vec::new();
-        for row in running {
-            let Some(record) = self.runs.get_mut(&row.run) else {
-                continue;
-            };
-            match &mut record.state {
-                RunState::Starting => {
-                    record.state = RunState::Running;
-                    let message = ToEntry::Began { run: row.run };
-                    let owner = record.owner.clone();
-                    self.tell(&owner, message);
-                    continue;
-                }
-                RunState::Stopping { began, .. } => {
-                    *began = true;
-                    continue;
-                }
-                RunState::Running => {}
-                RunState::Queued { .. } | RunState::Claimed => continue,
-            }
-            let elapsed_us = now.mono_us.saturating_sub(record.since_us);
-            if elapsed_us < LEAST_JUDGED_US.max(record.expected_us / 2) {
-                continue;
-            }
-            let due = elapsed_us as f64 / record.expected_us.max(1) as f64 / STALL_FACTOR;
-            if f64::from(row.percent) / 100.0 < due.min(1.0) {
-                info!(self.log, "run does not get on"; "run" => %row.run,
-                    "percent" => row.percent, "elapsed_us" => elapsed_us,
-                    "expected_us" => record.expected_us);
-                stalled.push(row.run);
-            }
-        }
-        for run in stalled {
-            self.stop(now, run, StopCause::Stalled);
-        }
-    }
 }
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -156,6 +156,7 @@
             expected_us: claimed.expected_us,
             since_us: now.mono_us,
             state,
+            mark: None,
         };
         self.runs.insert(run, record);
         self.room.force(run, claimed.needs);
