--- /dev/null
+++ b/tests/ephemeral_dispatcher.rs
@@ -0,0 +1,439 @@
+//! The entry's dispatcher, one decision at a time.
+
+use std::sync::Arc;
+
+use winghold::code::{Effect, ResultCode};
+use winghold::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
+use winghold::ephemeral::job::{Constraints, JobId, JobSpec, Resources, RunId};
+use winghold::ephemeral::limits::Limits;
+use winghold::ephemeral::message::{
+    ConfigDocument, GateLoad, NotRunReason, ProcessId, RunEnd, ToEntry, ToGate, WorkerTraits,
+};
+use winghold::ephemeral::routes::Route;
+use winghold::ephemeral::session::SessionId;
+use winghold::logging;
+use winghold::message::Answer;
+use winghold::time::Moment;
+
+const MS: u64 = 1_000;
+
+struct Bench {
+    dispatcher: Dispatcher,
+    now: Moment,
+    starts: Vec<(SessionId, RunId)>,
+    stops: Vec<RunId>,
+    answers: Vec<(WaiterId, Answer)>,
+    actions: Vec<DispatchAction>,
+}
+
+fn cpu(cpu_milli: u64) -> Resources {
+    Resources {
+        cpu_milli,
+        memory_mb: 10,
+        accelerators: 0,
+    }
+}
+
+fn route(priority: u8) -> Arc<Route> {
+    Arc::new(Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/".into(),
+        service: "s".into(),
+        priority,
+        attempts: 2,
+        timeout_us: 1_500 * MS,
+        stretch: 1.6,
+        slack_us: 60 * MS,
+    })
+}
+
+fn job(id: u64, count: u32) -> JobSpec {
+    JobSpec {
+        id: JobId(id),
+        payload: "p".into(),
+        count,
+        needs: cpu(500),
+        estimate_us: 100 * MS,
+        constraints: Constraints::default(),
+    }
+}
+
+fn load(free_milli: u64, wait_us: u64) -> GateLoad {
+    GateLoad {
+        worker: Some(Arc::new(WorkerTraits {
+            id: "w".into(),
+            service: "s".into(),
+            capacity: Resources {
+                cpu_milli: 1_000,
+                memory_mb: 1_000,
+                accelerators: 0,
+            },
+            labels: vec!["a".into(), "rack-1".into()],
+        })),
+        free: cpu(free_milli),
+        wait_us,
+        mean_run_us: 100 * MS,
+        slowness_percent: 100,
+        ..GateLoad::default()
+    }
+}
+
+impl Bench {
+    /// A dispatcher with `gates` connected gates of 1,000 millicores.
+    fn new(gates: u64) -> Bench {
+        let limits = Limits::new(
+            std::time::Duration::from_millis(1_300),
+            std::time::Duration::from_secs(1),
+            std::time::Duration::from_millis(50),
+        );
+        let me = ProcessId {
+            name: "e".into(),
+            incarnation: 1,
+        };
+        let mut bench = Bench {
+            dispatcher: Dispatcher::new(me, limits, logging::discard()),
+            now: Moment {
+                mono_us: 1_000_000,
+                wall_ms: 0,
+            },
+            starts: Vec::new(),
+            stops: Vec::new(),
+            answers: Vec::new(),
+            actions: Vec::new(),
+        };
+        for gate in 1..=gates {
+            bench.connect(gate);
+            bench.load(gate, load(1_000, 0));
+        }
+        bench
+    }
+
+    fn connect(&mut self, gate: u64) {
+        let name: Arc<str> = format!("g{gate}").into();
+        let session = SessionId(gate);
+        self.dispatcher.connected(self.now, &name, session);
+        let gate = ProcessId {
+            name,
+            incarnation: 1,
+        };
+        let hello = ToEntry::Hello { gate, config: 0 };
+        self.tell(session.0, hello);
+    }
+
+    fn load(&mut self, gate: u64, load: GateLoad) {
+        self.tell(gate, ToEntry::Load(load));
+    }
+
+    fn tell(&mut self, gate: u64, message: ToEntry) {
+        let session = SessionId(gate);
+        self.dispatcher.heard(self.now, session);
+        self.dispatcher.message(self.now, session, message);
+        self.collect();
+    }
+
+    fn ended(&mut self, start: (SessionId, RunId), end: RunEnd) {
+        let run_us = 100 * MS;
+        let run = start.1;
+        self.tell(start.0.0, ToEntry::Ended { run, end, run_us });
+    }
+
+    fn submit(&mut self, waiter: u64, spec: JobSpec, priority: u8) {
+        let wait_us = 2_000 * MS;
+        let waiter = WaiterId(waiter);
+        self.dispatcher
+            .submit(self.now, waiter, spec, route(priority), wait_us);
+        self.collect();
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now.mono_us += ms * MS;
+        self.dispatcher.tick(self.now);
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        for action in self.dispatcher.take_actions(self.now) {
+            match &action {
+                DispatchAction::Send { session, message } => match message {
+                    ToGate::Start(order) => self.starts.push((*session, order.run)),
+                    ToGate::Stop { run } => self.stops.push(*run),
+                    _ => {}
+                },
+                DispatchAction::Reply { waiter, answer } => {
+                    self.answers.push((*waiter, answer.clone()));
+                }
+                _ => {}
+            }
+            self.actions.push(action);
+        }
+    }
+
+    fn codes(&self) -> Vec<ResultCode> {
+        self.answers.iter().map(|(_, answer)| answer.code).collect()
+    }
+}
+
+#[test]
+fn a_job_is_answered_once_all_its_tasks_are_done() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, job(1, 3), 0);
+    assert_eq!(bench.starts.len(), 3);
+    for start in bench.starts.clone() {
+        assert!(bench.answers.is_empty());
+        bench.ended(start, RunEnd::Done);
+    }
+    assert_eq!(bench.codes(), [ResultCode::Complete]);
+}
+
+#[test]
+fn without_room_in_time_a_job_is_refused_at_once_and_told_when_to_come_back() {
+    let mut bench = Bench::new(1);
+    bench.load(1, load(0, 500 * MS));
+    bench.submit(1, job(1, 1), 0);
+    assert!(bench.starts.is_empty());
+    let answer = &bench.answers[0].1;
+    assert_eq!(answer.code, ResultCode::Overloaded);
+    assert_eq!(answer.effect, Effect::NotRun);
+    assert!(answer.retry_after_ms.is_some());
+}
+
+#[test]
+fn a_job_that_fits_only_in_part_is_not_begun() {
+    let mut bench = Bench::new(1);
+    bench.load(1, load(1_000, 400 * MS));
+    bench.submit(1, job(1, 8), 0);
+    assert!(bench.starts.is_empty());
+    assert_eq!(bench.codes(), [ResultCode::Overloaded]);
+}
+
+#[test]
+fn a_less_urgent_job_is_refused_where_an_urgent_one_waits() {
+    let mut bench = Bench::new(1);
+    bench.load(1, load(0, 50 * MS));
+    bench.submit(1, job(1, 1), 1);
+    assert_eq!(bench.codes(), [ResultCode::Overloaded]);
+    bench.submit(2, job(2, 1), 0);
+    assert_eq!(bench.starts.len(), 1);
+}
+
+#[test]
+fn what_no_worker_could_ever_run_fails_at_once() {
+    let mut bench = Bench::new(1);
+    let big = JobSpec {
+        needs: cpu(5_000),
+        ..job(1, 1)
+    };
+    bench.submit(1, big, 0);
+    assert_eq!(bench.codes(), [ResultCode::CannotRun]);
+    let labelled = JobSpec {
+        constraints: Constraints {
+            label: Some("b".into()),
+            ..Constraints::default()
+        },
+        ..job(2, 1)
+    };
+    bench.submit(2, labelled, 0);
+    assert_eq!(bench.codes(), [ResultCode::CannotRun; 2]);
+}
+
+#[test]
+fn without_gates_a_job_is_refused() {
+    let mut bench = Bench::new(0);
+    bench.submit(1, job(1, 1), 0);
+    assert_eq!(bench.codes(), [ResultCode::Overloaded]);
+}
+
+#[test]
+fn no_more_tasks_than_allowed_go_to_one_worker() {
+    let mut bench = Bench::new(2);
+    let spec = JobSpec {
+        constraints: Constraints {
+            most_on_worker: 1,
+            ..Constraints::default()
+        },
+        needs: cpu(100),
+        ..job(1, 2)
+    };
+    bench.submit(1, spec, 0);
+    let (first, second) = (bench.starts[0].0, bench.starts[1].0);
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_failed_task_goes_to_another_gate_and_fails_its_job_after_its_attempts() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, job(1, 1), 0);
+    bench.ended(bench.starts[0], RunEnd::Failed);
+    assert_eq!(bench.starts.len(), 2);
+    assert_ne!(bench.starts[0].0, bench.starts[1].0);
+    assert_eq!(bench.starts[1].1.run, 2);
+    bench.ended(bench.starts[1], RunEnd::Failed);
+    assert_eq!(bench.codes(), [ResultCode::TaskFailed]);
+}
+
+#[test]
+fn a_stop_is_no_failed_attempt() {
+    let mut bench = Bench::new(3);
+    bench.submit(1, job(1, 1), 0);
+    bench.ended(bench.starts[0], RunEnd::Stalled);
+    bench.ended(bench.starts[1], RunEnd::Stopped);
+    assert_eq!(bench.starts.len(), 3);
+    bench.ended(bench.starts[2], RunEnd::Done);
+    assert_eq!(bench.codes(), [ResultCode::Complete]);
+}
+
+#[test]
+fn a_gate_that_had_no_room_is_not_asked_again_on_its_old_load() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, job(1, 1), 0);
+    bench.ended(bench.starts[0], RunEnd::NotRun(NotRunReason::NoRoom));
+    assert_ne!(bench.starts[0].0, bench.starts[1].0);
+}
+
+#[test]
+fn a_job_of_which_nothing_ran_is_refused_once_what_was_sent_is_withdrawn() {
+    let mut bench = Bench::new(1);
+    bench.load(1, load(0, 20 * MS));
+    bench.submit(1, job(1, 2), 0);
+    assert_eq!(bench.starts.len(), 2);
+    bench.load(1, load(0, 900 * MS));
+    bench.pass(105);
+    bench.dispatcher.heard(bench.now, SessionId(1));
+    bench.ended(bench.starts[0], RunEnd::NotRun(NotRunReason::NoRoom));
+    assert!(bench.answers.is_empty(), "the other task may have begun");
+    assert_eq!(bench.stops, [bench.starts[1].1]);
+    bench.ended(bench.starts[1], RunEnd::NotRun(NotRunReason::Withdrawn));
+    assert_eq!(bench.codes(), [ResultCode::Overloaded]);
+    assert_eq!(bench.answers[0].1.effect, Effect::NotRun);
+}
+
+#[test]
+fn a_job_is_never_refused_after_one_of_its_tasks_began() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, job(1, 2), 0);
+    let run = bench.starts[0].1;
+    bench.tell(1, ToEntry::Began { run });
+    for _ in 0..20 {
+        bench.load(1, load(0, 5_000 * MS));
+        bench.pass(105);
+    }
+    assert_eq!(bench.codes(), [ResultCode::DeadlinePassed]);
+    assert_ne!(bench.answers[0].1.effect, Effect::NotRun);
+}
+
+#[test]
+fn a_job_sent_again_joins_the_first_and_both_are_answered() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, job(1, 1), 0);
+    bench.submit(2, job(1, 1), 0);
+    assert_eq!(bench.starts.len(), 1);
+    bench.ended(bench.starts[0], RunEnd::Done);
+    assert_eq!(bench.codes(), [ResultCode::Complete; 2]);
+    bench.submit(3, job(1, 1), 0);
+    assert_eq!(bench.starts.len(), 1, "its answer is still known");
+    assert_eq!(bench.codes(), [ResultCode::Complete; 3]);
+}
+
+#[test]
+fn what_runs_for_callers_that_left_is_stopped() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, job(1, 1), 0);
+    bench.submit(2, job(1, 1), 0);
+    bench
+        .dispatcher
+        .waiter_gone(bench.now, WaiterId(1), JobId(1));
+    bench.collect();
+    assert!(bench.stops.is_empty(), "another caller waits");
+    bench
+        .dispatcher
+        .waiter_gone(bench.now, WaiterId(2), JobId(1));
+    bench.collect();
+    assert_eq!(bench.stops, [bench.starts[0].1]);
+}
+
+#[test]
+fn a_job_with_runs_at_a_silent_gate_has_an_unknown_outcome() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, job(1, 1), 0);
+    let (session, _) = bench.starts[0];
+    let other = SessionId(3 - session.0);
+    for _ in 0..5 {
+        bench.dispatcher.heard(bench.now, other);
+        bench.pass(100);
+    }
+    assert_eq!(bench.codes(), [ResultCode::OutcomeUnknown]);
+}
+
+#[test]
+fn a_gate_that_comes_back_in_time_is_told_what_is_open() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, job(1, 1), 0);
+    bench.dispatcher.disconnected(SessionId(1));
+    bench.pass(100);
+    assert!(bench.answers.is_empty());
+    bench.actions.clear();
+    let name: Arc<str> = "g1".into();
+    bench.dispatcher.connected(bench.now, &name, SessionId(9));
+    bench.collect();
+    let open = bench.actions.iter().find_map(|action| match action {
+        DispatchAction::Send {
+            message: ToGate::Hello { open, .. },
+            ..
+        } => Some(open.len()),
+        _ => None,
+    });
+    assert_eq!(open, Some(1));
+}
+
+#[test]
+fn nothing_is_sent_to_a_suspect_gate_but_one_probe() {
+    let mut bench = Bench::new(3);
+    let suspect = GateLoad {
+        suspect: true,
+        ..load(1_000, 0)
+    };
+    bench.load(1, suspect);
+    bench.load(2, load(0, 20 * MS));
+    bench.load(3, load(0, 20 * MS));
+    bench.submit(1, job(1, 1), 0);
+    bench.submit(2, job(2, 1), 0);
+    let probes = bench
+        .starts
+        .iter()
+        .filter(|(session, _)| *session == SessionId(1));
+    assert_eq!(probes.count(), 1);
+}
+
+#[test]
+fn a_newer_configuration_is_passed_on_and_an_older_one_is_not_learned() {
+    let mut bench = Bench::new(1);
+    let document = |version: u64| ConfigDocument {
+        version,
+        text: "{}".into(),
+    };
+    bench.dispatcher.config_in_force(document(5));
+    bench.collect();
+    let passed = bench.actions.iter().any(|action| {
+        matches!(
+            action,
+            DispatchAction::Send {
+                message: ToGate::Config(_),
+                ..
+            }
+        )
+    });
+    assert!(passed);
+    bench.actions.clear();
+    bench.tell(1, ToEntry::Config(document(4)));
+    bench.tell(1, ToEntry::Config(document(6)));
+    let learned: Vec<u64> = bench
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            DispatchAction::Learned(document) => Some(document.version),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(learned, [6]);
+}
