Let jobs wait a moment for gates; part admission and the gate into modules

Also a job that fits no known worker was called impossible before all workers could be known.

The test that a guard on late frames matters needs 2,621 cases now; it looks at 10,000.

--- /dev/null
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -0,0 +1,193 @@
+//! Taking jobs in: whole, and only if they can begin in time.
+//!
+//! A job that comes while no gate takes work is kept for a moment: an entry that
+//! was frozen or cut off is connected again within a few milliseconds.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+
+use super::job::Job;
+use super::{COME_BACK_MS, DispatchAction, Dispatcher, WaiterId, failed, refused, want};
+use crate::code::ResultCode;
+use crate::ephemeral::job::{JobId, JobSpec};
+use crate::ephemeral::placement::GateView;
+use crate::ephemeral::routes::Route;
+use crate::message::Answer;
+use crate::time::{Moment, micros};
+
+/// When a caller should come back that no worker could be found for.
+const COME_BACK_LATER_MS: u64 = 1_000;
+/// Run time expected where neither the caller nor past runs tell, in microseconds.
+const UNKNOWN_RUN_US: u64 = 200_000;
+/// Weight of the caller's own estimate against the mean of past runs; estimates
+/// of the sites are off by 40%, run times vary by 40%.
+const ESTIMATE_WEIGHT: f64 = 0.5;
+/// Part of a job's patience that the wait expected at admission may take, at the
+/// most urgent priority; the rest is for estimates that are off.
+const URGENT_ADMIT_SHARE: f64 = 0.85;
+/// The same at the other priorities: under overload they are refused first, and
+/// waits stay short for those that are taken.
+const ADMIT_SHARE: f64 = 0.15;
+/// Longest wait of a job for any gate: a quarter of the shortest objective of the
+/// sites, after which a refusal counts as late.
+const PARKED: Duration = Duration::from_millis(35);
+/// How long gates must have been known before a job that fits none of their
+/// workers is said to fit none at all; workers report every 1.5 s.
+const ALL_KNOWN: Duration = Duration::from_secs(3);
+
+/// Why a job is not taken in.
+enum Denial {
+    /// No gate takes work now.
+    NoGate,
+    /// This is its answer.
+    Answer(Answer),
+}
+
+impl Dispatcher {
+    /// Whether a job can be served in time.
+    fn admit(&mut self, now: Moment, job: &Job) -> Result<(), Denial> {
+        if !self.gates.values().any(GateView::is_open) {
+            return Err(Denial::NoGate);
+        }
+        let want = want(now, job);
+        let fitting = |gate: &GateView| {
+            let worker = gate.load.worker.as_ref();
+            worker.is_some_and(|worker| want.fits(worker))
+        };
+        if !self.gates.values().any(fitting) {
+            return Err(Denial::Answer(self.fits_nowhere(now)));
+        }
+        let Some(wait_us) = self.fits_whole(now, job) else {
+            let answer = refused("no worker takes it now", COME_BACK_LATER_MS);
+            return Err(Denial::Answer(answer));
+        };
+        let patience_us = job.patience_us(now.mono_us) as f64;
+        let share = match job.route.priority {
+            0 => URGENT_ADMIT_SHARE,
+            _ => ADMIT_SHARE,
+        };
+        if wait_us as f64 > patience_us * share {
+            let text = format!("no room within {wait_us} us");
+            return Err(Denial::Answer(refused(&text, COME_BACK_MS)));
+        }
+        Ok(())
+    }
+
+    /// The answer for a job that fits no worker that is known.
+    fn fits_nowhere(&self, now: Moment) -> Answer {
+        let since_us = self.served_since_us.unwrap_or(now.mono_us);
+        match now.mono_us > since_us + micros(ALL_KNOWN) {
+            true => failed(ResultCode::CannotRun, "no worker could ever run it"),
+            false => refused("not all workers are known yet", COME_BACK_LATER_MS),
+        }
+    }
+
+    /// The longest wait that a task of the job would have if all were placed
+    /// now; none if some would find no gate.
+    fn fits_whole(&mut self, now: Moment, job: &Job) -> Option<u64> {
+        let mut waits = Vec::new();
+        for index in 0..job.spec.count {
+            let choice = self.choose(now, job, index);
+            let Some(choice) = choice else {
+                break;
+            };
+            if let Some(gate) = self.gates.get_mut(&choice.gate) {
+                gate.reserve(job.spec.needs);
+            }
+            waits.push(choice.wait_us);
+        }
+        for gate in self.gates.values_mut() {
+            gate.release_reserved();
+        }
+        let whole = waits.len() == job.spec.count as usize;
+        whole.then(|| waits.into_iter().max().unwrap_or(0))
+    }
+
+    fn expected_us(&self, spec: &JobSpec, route: &Route) -> u64 {
+        let mean_us = self.run_times.mean_us(&route.service, &route.name);
+        match (spec.estimate_us, mean_us) {
+            (0, None) => UNKNOWN_RUN_US,
+            (0, Some(mean_us)) => mean_us,
+            (estimate_us, None) => estimate_us,
+            (estimate_us, Some(mean_us)) => {
+                let blend =
+                    estimate_us as f64 * ESTIMATE_WEIGHT + mean_us as f64 * (1.0 - ESTIMATE_WEIGHT);
+                blend as u64
+            }
+        }
+    }
+
+    /// A caller sent a job and waits `wait_us` for its answer.
+    pub fn submit(
+        &mut self,
+        now: Moment,
+        waiter: WaiterId,
+        spec: JobSpec,
+        route: Arc<Route>,
+        wait_us: u64,
+    ) {
+        if let Some(job) = self.jobs.get_mut(&spec.id) {
+            info!(self.log, "job joined"; "job" => %spec.id);
+            job.waiters.push(waiter);
+            return;
+        }
+        let past = self.past.get(&spec.id);
+        if let Some(answer) = past.and_then(|past| past.answer.clone()) {
+            info!(self.log, "job answered again"; "job" => %spec.id, "code" => answer.code.name());
+            self.actions.push(DispatchAction::Reply { waiter, answer });
+            return;
+        }
+        let first_run = past.map_or(0, |past| past.next_run);
+        let expected_us = self.expected_us(&spec, &route);
+        let id = spec.id;
+        let mut job = Job::new(spec, route, now.mono_us, wait_us, expected_us, first_run);
+        job.waiters.push(waiter);
+        match self.admit(now, &job) {
+            Ok(()) => {}
+            Err(Denial::NoGate) => job.parked_until_us = Some(now.after(PARKED)),
+            Err(Denial::Answer(answer)) => {
+                self.log_end(now, &job, &answer);
+                self.actions.push(DispatchAction::Reply { waiter, answer });
+                return;
+            }
+        }
+        let parked = job.parked_until_us.is_some();
+        if parked {
+            self.backlog.insert((job.latest_begin_us(), id));
+        }
+        self.deadlines.insert((job.deadline_us, id));
+        self.jobs.insert(id, job);
+        if !parked {
+            self.place(now, id);
+        }
+    }
+
+    /// Tries again to take in a job that was kept; `false` if it waits on or was
+    /// refused.
+    pub(super) fn unpark(&mut self, now: Moment, id: JobId) -> bool {
+        let Some(mut job) = self.jobs.remove(&id) else {
+            return false;
+        };
+        let admitted = self.admit(now, &job);
+        let overdue = job
+            .parked_until_us
+            .is_none_or(|until_us| until_us <= now.mono_us);
+        if admitted.is_ok() {
+            job.parked_until_us = None;
+        }
+        self.jobs.insert(id, job);
+        match admitted {
+            Ok(()) => return true,
+            // Gates come back one by one: the first may have too little room.
+            Err(_) if !overdue => {}
+            Err(Denial::NoGate) => {
+                let answer = refused("no worker is known", COME_BACK_LATER_MS);
+                self.finish(now, id, answer);
+            }
+            Err(Denial::Answer(answer)) => self.finish(now, id, answer),
+        }
+        false
+    }
+}
--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -86,6 +86,7 @@
                 if let Some(gate) = self.gates.get_mut(&name) {
                     gate.observe(load);
                 }
+                self.note_service(now);
                 self.dirty |= !self.backlog.is_empty();
             }
             ToEntry::Began { run } => self.began(run),
@@ -111,6 +112,15 @@
         }
     }
 
+    /// Keeps account of since when there has been a gate that takes work.
+    fn note_service(&mut self, now: Moment) {
+        if self.open_gates() == 0 {
+            self.served_since_us = None;
+        } else {
+            self.served_since_us.get_or_insert(now.mono_us);
+        }
+    }
+
     fn config_version(&self) -> u64 {
         self.config.as_ref().map_or(0, |document| document.version)
     }
@@ -158,6 +168,7 @@
         };
         info!(self.log, "gate given up"; "gate" => &**name,
             "silent_us" => now.mono_us.saturating_sub(gate.heard_us));
+        self.note_service(now);
         let sessions: Vec<SessionId> = self
             .sessions
             .iter()
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -54,6 +54,8 @@
     pub tasks: Vec<Task>,
     /// Whether a worker may have begun one of its tasks.
     pub may_have_run: bool,
+    /// Until when it waits for any gate, if none took work when it came.
+    pub parked_until_us: Option<u64>,
     /// Why it is being withdrawn; it is answered once its runs are over.
     pub withdrawn: Option<&'static str>,
 }
@@ -83,6 +85,7 @@
             arrived_us,
             expected_us,
             may_have_run: false,
+            parked_until_us: None,
             withdrawn: None,
         }
     }
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 //! refusal if nothing of it can have run, with a failure or an unknown outcome
 //! otherwise. Whatever of it is still out is stopped then.
 
+mod admission;
 mod gates;
 mod job;
 mod progress;
@@ -18,11 +19,10 @@
 use slog::{Logger, info};
 
 use crate::code::{Effect, ResultCode};
-use crate::ephemeral::job::{JobId, JobSpec, RunId};
+use crate::ephemeral::job::{JobId, RunId};
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{ConfigDocument, ProcessId, StartOrder, ToGate};
 use crate::ephemeral::placement::{Choice, GateView, Placer, Want};
-use crate::ephemeral::routes::Route;
 use crate::ephemeral::session::SessionId;
 use crate::message::Answer;
 use crate::run_times::RunTimes;
@@ -34,22 +34,9 @@
 /// When a refused caller should come back: about the time in which a full
 /// worker frees its room.
 const COME_BACK_MS: u64 = 500;
-/// When a caller should come back that no worker could be found for.
-const COME_BACK_LATER_MS: u64 = 1_000;
-/// Run time expected where neither the caller nor past runs tell, in microseconds.
-const UNKNOWN_RUN_US: u64 = 200_000;
-/// Weight of the caller's own estimate against the mean of past runs; estimates
-/// of the sites are off by 40%, run times vary by 40%.
-const ESTIMATE_WEIGHT: f64 = 0.5;
 /// Gates with less room than they said that a task is turned away from before
 /// it waits at one.
 const MOST_BOUNCES: u32 = 3;
-/// Part of a job's patience that the wait expected at admission may take, at the
-/// most urgent priority; the rest is for estimates that are off.
-const URGENT_ADMIT_SHARE: f64 = 0.85;
-/// The same at the other priorities: under overload they are refused first, and
-/// waits stay short for those that are taken.
-const ADMIT_SHARE: f64 = 0.15;
 /// Step of the run number after a worker rejected it as too low.
 const RUN_STEP: u32 = 16;
 
@@ -93,6 +80,8 @@
     limits: Limits,
     log: Logger,
     gates: BTreeMap<Arc<str>, GateView>,
+    /// Since when there has been a gate that takes work, if there is one.
+    served_since_us: Option<u64>,
     sessions: HashMap<SessionId, Arc<str>>,
     jobs: HashMap<JobId, Job>,
     backlog: BTreeSet<(u64, JobId)>,
@@ -116,6 +105,7 @@
             limits,
             log,
             gates: BTreeMap::new(),
+            served_since_us: None,
             sessions: HashMap::new(),
             jobs: HashMap::new(),
             backlog: BTreeSet::new(),
@@ -154,107 +144,14 @@
         self.gates.values().filter(|gate| gate.is_open()).count()
     }
 
-    /// A caller sent a job and waits `wait_us` for its answer.
-    pub fn submit(
-        &mut self,
-        now: Moment,
-        waiter: WaiterId,
-        spec: JobSpec,
-        route: Arc<Route>,
-        wait_us: u64,
-    ) {
-        if let Some(job) = self.jobs.get_mut(&spec.id) {
-            info!(self.log, "job joined"; "job" => %spec.id);
-            job.waiters.push(waiter);
-            return;
-        }
-        let past = self.past.get(&spec.id);
-        if let Some(answer) = past.and_then(|past| past.answer.clone()) {
-            info!(self.log, "job answered again"; "job" => %spec.id, "code" => answer.code.name());
-            self.actions.push(DispatchAction::Reply { waiter, answer });
-            return;
-        }
-        let first_run = past.map_or(0, |past| past.next_run);
-        let expected_us = self.expected_us(&spec, &route);
-        let id = spec.id;
-        let mut job = Job::new(spec, route, now.mono_us, wait_us, expected_us, first_run);
-        job.waiters.push(waiter);
-        if let Err(answer) = self.admit(now, &job) {
-            self.log_end(now, &job, &answer);
-            self.actions.push(DispatchAction::Reply { waiter, answer });
+    /// Sends the tasks of a job that are at no gate.
+    fn place(&mut self, now: Moment, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
             return;
-        }
-        self.deadlines.insert((job.deadline_us, id));
-        self.jobs.insert(id, job);
-        self.place(now, id);
-    }
-
-    fn expected_us(&self, spec: &JobSpec, route: &Route) -> u64 {
-        let mean_us = self.run_times.mean_us(&route.service, &route.name);
-        match (spec.estimate_us, mean_us) {
-            (0, None) => UNKNOWN_RUN_US,
-            (0, Some(mean_us)) => mean_us,
-            (estimate_us, None) => estimate_us,
-            (estimate_us, Some(mean_us)) => {
-                let blend =
-                    estimate_us as f64 * ESTIMATE_WEIGHT + mean_us as f64 * (1.0 - ESTIMATE_WEIGHT);
-                blend as u64
-            }
-        }
-    }
-
-    /// Whether a job can be served in time.
-    fn admit(&mut self, now: Moment, job: &Job) -> Result<(), Answer> {
-        let want = want(now, job);
-        let fitting = |gate: &GateView| {
-            let worker = gate.load.worker.as_ref();
-            worker.is_some_and(|worker| want.fits(worker))
-        };
-        if !self.gates.values().any(fitting) {
-            let known = self.gates.values().any(GateView::is_open);
-            return Err(match known {
-                true => failed(ResultCode::CannotRun, "no worker could ever run it"),
-                false => refused("no worker is known", COME_BACK_LATER_MS),
-            });
-        }
-        let wait_us = self
-            .fits_whole(now, job)
-            .ok_or_else(|| refused("no worker takes it now", COME_BACK_LATER_MS))?;
-        let patience_us = job.patience_us(now.mono_us) as f64;
-        let share = match job.route.priority {
-            0 => URGENT_ADMIT_SHARE,
-            _ => ADMIT_SHARE,
         };
-        if wait_us as f64 > patience_us * share {
-            let text = format!("no room within {wait_us} us");
-            return Err(refused(&text, COME_BACK_MS));
-        }
-        Ok(())
-    }
-
-    /// The longest wait that a task of the job would have if all were placed
-    /// now; none if some would find no gate.
-    fn fits_whole(&mut self, now: Moment, job: &Job) -> Option<u64> {
-        let mut waits = Vec::new();
-        for index in 0..job.spec.count {
-            let choice = self.choose(now, job, index);
-            let Some(choice) = choice else {
-                break;
-            };
-            if let Some(gate) = self.gates.get_mut(&choice.gate) {
-                gate.reserve(job.spec.needs);
-            }
-            waits.push(choice.wait_us);
-        }
-        for gate in self.gates.values_mut() {
-            gate.release_reserved();
+        if job.parked_until_us.is_some() && !self.unpark(now, id) {
+            return;
         }
-        let whole = waits.len() == job.spec.count as usize;
-        whole.then(|| waits.into_iter().max().unwrap_or(0))
-    }
-
-    /// Sends the tasks of a job that are at no gate.
-    fn place(&mut self, now: Moment, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
--- /dev/null
+++ b/src/ephemeral/gate/queue.rs
@@ -0,0 +1,166 @@
+//! Runs that wait for room, and the order in which they get it.
+
+use slog::{debug, info};
+
+use super::life::Life;
+use super::{Gate, GateAction, Mark, PastRun, Run, RunState};
+use crate::ephemeral::job::RunId;
+use crate::ephemeral::message::{NotRunReason, ProcessId, RunEnd, StartOrder, ToEntry};
+use crate::ephemeral::worker::StartCall;
+use crate::time::Moment;
+
+/// Part of its time so far that an overdue run is expected to take on.
+const OVERDUE_SHARE: u64 = 4;
+
+impl Gate {
+    pub(super) fn admit(&mut self, now: Moment, owner: ProcessId, order: StartOrder) {
+        let run = order.run;
+        if let Some(past) = self.past_of(&owner, run) {
+            let message = past.report(run);
+            self.tell(&owner, message);
+            return;
+        }
+        if let Some(other) = self.other_run(run) {
+            info!(self.log, "task is here already"; "run" => %run, "other" => %other);
+            let reason = NotRunReason::Rejected;
+            let end = RunEnd::NotRun(reason);
+            self.tell(
+                &owner,
+                ToEntry::Ended {
+                    run,
+                    end,
+                    run_us: 0,
+                },
+            );
+            return;
+        }
+        let due_us = now.mono_us + order.due_us;
+        let until_us = now.mono_us + order.patience_us;
+        let record = Run {
+            owner,
+            needs: order.needs,
+            payload: order.payload,
+            expected_us: order.expected_us,
+            since_us: now.mono_us,
+            state: RunState::Queued { due_us, until_us },
+            mark: None,
+        };
+        self.runs.insert(run, record);
+        if let Some(reason) = self.closed(now) {
+            self.end(now, run, RunEnd::NotRun(reason));
+            return;
+        }
+        self.queue.insert((due_us, run));
+        self.load_changed = true;
+        if order.patience_us == 0 {
+            self.fill(now);
+            self.refuse_late(now);
+        }
+    }
+
+    /// A run of the same task that is not over yet.
+    fn other_run(&self, run: RunId) -> Option<RunId> {
+        let first = RunId { run: 0, ..run };
+        let last = RunId {
+            run: u32::MAX,
+            ..run
+        };
+        let mut same = self.runs.range(first..=last);
+        same.next().map(|(other, _)| *other)
+    }
+
+    pub(super) fn past_of(&self, owner: &ProcessId, run: RunId) -> Option<&PastRun> {
+        self.past.get(&run).filter(|past| past.owner == *owner)
+    }
+
+    /// Begins what fits, in the order of the latest begin.
+    pub(super) fn fill(&mut self, now: Moment) {
+        let open = self.closed(now).is_none() && self.unclaimed.is_empty();
+        if !open || !self.life.as_ref().is_some_and(Life::ready) {
+            return;
+        }
+        let waiting: Vec<(u64, RunId)> = self.queue.iter().copied().collect();
+        for (due_us, run) in waiting {
+            let busy = self.health.suspect() && self.runs.values().any(Run::is_out);
+            let needs = self.runs[&run].needs;
+            if busy || !self.room.take(run, needs) {
+                continue;
+            }
+            self.queue.remove(&(due_us, run));
+            self.order(now, run);
+        }
+    }
+
+    fn order(&mut self, now: Moment, run: RunId) {
+        let lease = self.limits.lease;
+        let (Some(life), Some(record)) = (&mut self.life, self.runs.get_mut(&run)) else {
+            return;
+        };
+        let waited_us = now.mono_us.saturating_sub(record.since_us);
+        debug!(self.log, "run ordered"; "run" => %run, "waited_us" => waited_us,
+            "free_cpu_milli" => self.room.free().cpu_milli);
+        record.state = RunState::Starting;
+        record.since_us = now.mono_us;
+        record.mark = Some(Mark::new(now.mono_us, 0));
+        self.load_changed = true;
+        self.actions.push(GateAction::Start(StartCall {
+            worker: life.id(),
+            run,
+            payload: record.payload.clone(),
+            lease_until_ms: life.lease_until(now, lease),
+            limit: self.answers.limit(),
+        }));
+    }
+
+    pub(super) fn refuse_late(&mut self, now: Moment) {
+        let late = |run: &RunId| {
+            let state = self.runs.get(run).map(|record| record.state);
+            matches!(state, Some(RunState::Queued { until_us, .. }) if until_us <= now.mono_us)
+        };
+        let waiting = self.queue.iter().map(|(_, run)| *run);
+        let late: Vec<RunId> = waiting.filter(late).collect();
+        for run in late {
+            self.end(now, run, RunEnd::NotRun(NotRunReason::NoRoom));
+        }
+    }
+
+    pub(super) fn refuse_queued(&mut self, now: Moment, reason: NotRunReason) {
+        let waiting: Vec<RunId> = self.queue.iter().map(|(_, run)| *run).collect();
+        for run in waiting {
+            self.end(now, run, RunEnd::NotRun(reason));
+        }
+    }
+
+    /// Time until a run of the usual size would find room: when enough of the
+    /// present runs should have ended for all that waits and one more.
+    pub(super) fn wait_us(&self, now: Moment) -> u64 {
+        let cpu = |run: &Run| run.needs.cpu_milli;
+        let out = self.runs.values().filter(|run| run.is_out());
+        let mut ends: Vec<(u64, u64)> = out.map(|run| (self.left_us(now, run), cpu(run))).collect();
+        let usual = ends.iter().map(|(_, cpu)| cpu).sum::<u64>() / ends.len().max(1) as u64;
+        let queued: u64 = self.queue.iter().map(|(_, run)| cpu(&self.runs[run])).sum();
+        let wanted = queued + usual;
+        let mut free = self.room.free().cpu_milli;
+        if free >= wanted {
+            return 0;
+        }
+        ends.sort_unstable();
+        for (left_us, cpu) in &ends {
+            free += cpu;
+            if free >= wanted {
+                return *left_us;
+            }
+        }
+        ends.last().map_or(0, |(left_us, _)| left_us * 2)
+    }
+
+    /// Time that a run is expected to go on; one that is overdue, for a share
+    /// of what it took so far.
+    fn left_us(&self, now: Moment, run: &Run) -> u64 {
+        let elapsed_us = now.mono_us.saturating_sub(run.since_us);
+        let expected_us = run.expected_us * u64::from(self.health.slowness_percent()) / 100;
+        expected_us
+            .saturating_sub(elapsed_us)
+            .max(elapsed_us / OVERDUE_SHARE)
+    }
+}
--- a/tests/ephemeral_dispatcher.rs
+++ b/tests/ephemeral_dispatcher.rs
@@ -152,6 +152,16 @@
         self.collect();
     }
 
+    /// Passes time while all gates are heard.
+    fn steady(&mut self, ms: u64) {
+        for _ in 0..ms / 100 {
+            for gate in 1..=9 {
+                self.dispatcher.heard(self.now, SessionId(gate));
+            }
+            self.pass(100);
+        }
+    }
+
     fn collect(&mut self) {
         for action in self.dispatcher.take_actions(self.now) {
             match &action {
@@ -220,6 +230,7 @@
 #[test]
 fn what_no_worker_could_ever_run_fails_at_once() {
     let mut bench = Bench::new(1);
+    bench.steady(4_000);
     let big = JobSpec {
         needs: cpu(5_000),
         ..job(1, 1)
@@ -238,10 +249,54 @@
 }
 
 #[test]
-fn without_gates_a_job_is_refused() {
+fn before_all_workers_can_be_known_nothing_is_said_to_fit_none() {
+    let mut bench = Bench::new(1);
+    let big = JobSpec {
+        needs: cpu(5_000),
+        ..job(1, 1)
+    };
+    bench.submit(1, big, 0);
+    assert_eq!(bench.codes(), [ResultCode::Overloaded]);
+}
+
+#[test]
+fn without_gates_a_job_waits_a_moment_and_is_refused() {
     let mut bench = Bench::new(0);
     bench.submit(1, job(1, 1), 0);
+    bench.pass(30);
+    assert!(bench.answers.is_empty());
+    bench.pass(10);
     assert_eq!(bench.codes(), [ResultCode::Overloaded]);
+    assert_eq!(bench.answers[0].1.effect, Effect::NotRun);
+}
+
+#[test]
+fn a_job_that_came_before_the_gates_is_run_when_they_are_there() {
+    let mut bench = Bench::new(0);
+    bench.submit(1, job(1, 2), 0);
+    bench.pass(10);
+    bench.connect(1);
+    bench.load(1, load(1_000, 0));
+    assert_eq!(bench.starts.len(), 2);
+    for start in bench.starts.clone() {
+        bench.ended(start, RunEnd::Done);
+    }
+    assert_eq!(bench.codes(), [ResultCode::Complete]);
+}
+
+#[test]
+fn jobs_that_came_before_the_gates_are_not_all_begun_if_they_do_not_fit() {
+    let mut bench = Bench::new(0);
+    for id in 1..=6 {
+        bench.submit(id, job(id, 2), 1);
+    }
+    bench.connect(1);
+    bench.load(1, load(1_000, 200 * MS));
+    assert_eq!(bench.starts.len(), 2);
+    assert!(bench.answers.is_empty(), "other gates may come");
+    bench.pass(40);
+    assert_eq!(bench.starts.len(), 2);
+    assert_eq!(bench.codes(), [ResultCode::Overloaded; 5]);
 }
 
 #[test]
--- a/tests/ephemeral_safety.rs
+++ b/tests/ephemeral_safety.rs
@@ -126,9 +126,14 @@
     assert!(completed > 300, "{completed} completed");
 }
 
+/// Cases among which one must break a promise once a guard is out; the rarest
+/// took 2,621.
+const BREAKING_CASES: u64 = 10_000;
+
 /// Whether some case breaks a promise.
 fn breaks(limits: Limits, without: Without) -> bool {
-    (0..CASES * 4).any(|seed| !play(seed, limits, without).violations.is_empty())
+    let broken = |seed: u64| !play(seed, limits, without).violations.is_empty();
+    (0..BREAKING_CASES).any(broken)
 }
 
 #[test]
