Revert: entries learn from peers named as seeds

Ruled out: a fault of the start itself (no exit, no failed bind in the logs). Conclusion: the try is taken back; an entry that restarts while the store turns it away stays unready until the store is back, and the balancer sends its callers elsewhere.

--- a/src/ephemeral/directory.rs
+++ b/src/ephemeral/directory.rs
@@ -5,9 +5,7 @@
 //! a gate reads its record back and writes it anew. Entries watch the records.
 //! A missing record never ends a session that is alive.
 
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +15,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 
-use crate::ephemeral::message::{ConfigDocument, ProcessId, WorkerTraits};
+use crate::ephemeral::message::{ProcessId, WorkerTraits};
 use crate::store::{Expect, LeaseId, Store, StoreEntry, StoreError, StoreReply, StoreRequest};
 use crate::time::Timer;
 
@@ -62,36 +60,6 @@
     }
 }
 
-/// What one entry knows, for another that cannot read the store.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// Its configuration.
-    pub config: Option<ConfigDocument>,
-    /// Gates that it has sessions with.
-    pub gates: Vec<GateRecord>,
-}
-
-impl Snapshot {
-    /// As sent between entries.
-    pub fn encode(&self) -> Vec<u8> {
-        rmp_serde::to_vec_named(self).unwrap_or_default()
-    }
-
-    /// Reads what another entry sent.
-    pub fn decode(bytes: &[u8]) -> Option<Snapshot> {
-        rmp_serde::from_slice(bytes).ok()
-    }
-}
-
-/// Future of a peer's snapshot.
-pub type SnapshotFuture = Pin<Box<dyn Future<Output = Option<Snapshot>> + Send>>;
-
-/// Other entries whose addresses are known without the store.
-pub trait Peers: Send + Sync {
-    /// Asks one of them, another one each time.
-    fn ask(&self) -> SnapshotFuture;
-}
-
 /// Notes once when a dependency is lost, and once when it is back.
 struct Reachable<'a> {
     log: &'a Logger,
--- a/src/ephemeral/entry.rs
+++ b/src/ephemeral/entry.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 use crate::code::ResultCode;
-use crate::ephemeral::directory::{self, GateRecord, Peers, Snapshot};
+use crate::ephemeral::directory::{self, GateRecord};
 use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
 use crate::ephemeral::job::{JobId, JobSpec};
 use crate::ephemeral::limits::Limits;
@@ -33,9 +33,6 @@
 /// seconds after the store is back).
 const MISSING: Duration = Duration::from_secs(2);
 
-/// Pause between two questions to peers, while the entry cannot serve.
-const ASK_PEERS: Duration = Duration::from_millis(150);
-
 /// Reads a configuration document.
 pub trait ConfigReader: Send + Sync {
     /// The routes of a document.
@@ -54,8 +51,6 @@
     pub config_key: String,
     /// Reads configuration documents.
     pub reader: Arc<dyn ConfigReader>,
-    /// Other entries, for while the store cannot be read.
-    pub peers: Arc<dyn Peers>,
     /// Timer service.
     pub timer: Timer,
     /// Where counts go.
@@ -79,7 +74,6 @@
     Dialed(Arc<str>, Option<TcpStream>),
     Gates(Vec<GateRecord>),
     Config(ConfigDocument),
-    Snapshot(Box<Snapshot>),
     Leave,
 }
 
@@ -89,7 +83,6 @@
     gates: usize,
     jobs: usize,
     leaving: bool,
-    snapshot: Snapshot,
 }
 
 /// Handle on an entry for its HTTP side.
@@ -137,11 +130,6 @@
         self.with_view(|view| view.table.version > 0 && view.gates > 0 && !view.leaving)
     }
 
-    /// What this entry knows, for another.
-    pub fn snapshot(&self) -> Snapshot {
-        self.with_view(|view| view.snapshot.clone())
-    }
-
     /// Whether the entry is stopping.
     pub fn leaving(&self) -> bool {
         self.with_view(|view| view.leaving)
@@ -203,7 +191,6 @@
     rx: UnboundedReceiver<Event>,
     suspension: Suspension,
     beat_us: u64,
-    asked_us: u64,
 }
 
 impl Entry {
@@ -238,7 +225,6 @@
             rx,
             suspension: Suspension::new(parts.timer.now()),
             beat_us: 0,
-            asked_us: 0,
             parts,
         };
         (entry, handle)
@@ -263,7 +249,6 @@
                 self.handle(now, event);
             }
             self.beat(now);
-            self.ask_peers(now);
             self.dial_missing(now);
             self.act(now);
         }
@@ -324,7 +309,6 @@
             Event::Dialed(name, stream) => self.dialed(now, &name, stream),
             Event::Gates(records) => self.know_gates(now, records),
             Event::Config(document) => self.learn(document, "store"),
-            Event::Snapshot(snapshot) => self.learn_from_peer(*snapshot),
             Event::Leave => {
                 info!(self.parts.log, "entry is leaving"; "open_jobs" => self.dispatcher.open_jobs());
                 self.view().leaving = true;
@@ -364,62 +348,15 @@
             }
         }
         for record in records {
-            self.know_gate(record);
-        }
-    }
-
-    fn know_gate(&mut self, record: GateRecord) {
-        let fresh = Dial {
-            addr: record.addr,
-            session: None,
-            dialing: false,
-            missing_us: None,
-        };
-        let dial = self.dials.entry(record.gate.name).or_insert(fresh);
-        dial.addr = record.addr;
-    }
-
-    /// Takes what is new from another entry; what it does not know ends nothing.
-    fn learn_from_peer(&mut self, snapshot: Snapshot) {
-        info!(self.parts.log, "peer answered"; "gates" => snapshot.gates.len(),
-            "version" => snapshot.config.as_ref().map(|document| document.version));
-        if let Some(document) = snapshot.config {
-            self.learn(document, "peer");
-        }
-        for record in snapshot.gates {
-            if !self.dials.contains_key(&record.gate.name) {
-                self.know_gate(record);
-            }
-        }
-    }
-
-    /// Asks a peer while the store has not told what is needed to serve.
-    fn ask_peers(&mut self, now: Moment) {
-        let serves = self.view().table.version > 0 && !self.dials.is_empty();
-        if serves || now.mono_us < self.asked_us + micros(ASK_PEERS) {
-            return;
+            let fresh = Dial {
+                addr: record.addr,
+                session: None,
+                dialing: false,
+                missing_us: None,
+            };
+            let dial = self.dials.entry(record.gate.name).or_insert(fresh);
+            dial.addr = record.addr;
         }
-        self.asked_us = now.mono_us;
-        let (answer, tx) = (self.parts.peers.ask(), self.tx.clone());
-        tokio::spawn(async move {
-            if let Some(snapshot) = answer.await {
-                let _ = tx.send(Event::Snapshot(Box::new(snapshot)));
-            }
-        });
-    }
-
-    /// Gates with open sessions, as records for another entry.
-    fn known_gates(&self) -> Vec<GateRecord> {
-        let open = self.dials.iter().filter(|(_, dial)| dial.session.is_some());
-        let records = open.map(|(name, dial)| GateRecord {
-            gate: ProcessId {
-                name: name.clone(),
-                incarnation: 0,
-            },
-            addr: dial.addr,
-            worker: None,
-        });
-        records.collect()
     }
 
     fn dial_missing(&mut self, now: Moment) {
@@ -468,7 +405,6 @@
                 info!(self.parts.log, "configuration in force"; "version" => table.version,
                     "before" => before, "routes" => table.routes.len(), "from" => from);
                 self.view().table = Arc::new(table);
-                self.view().snapshot.config = Some(document.clone());
                 self.dispatcher.config_in_force(document);
             }
             Err(err) => {
@@ -482,8 +418,6 @@
         if now.mono_us >= self.beat_us + micros(self.parts.limits.beat) {
             self.beat_us = now.mono_us;
             self.dispatcher.beat();
-            let gates = self.known_gates();
-            self.view().snapshot.gates = gates;
         }
     }
 
