Part the entry, tell sessions' events without a relay, count runs in agents

Cause: entry.rs held loop and handle; both loops relayed session events through a task of the same form; agents had no figures of their own; a name of the wire (last_seen) was used inside. Ruled out: changes of behaviour; all tests pass.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -18,6 +18,7 @@
 use crate::ephemeral::worker::{
     HoldCall, HoldReply, OrderError, OrderedWorker, StartAnswer, WorkerReport,
 };
+use crate::metrics::Metrics;
 use crate::time::{Moment, Timer, micros};
 
 /// How often the gate is told that time has passed.
@@ -39,6 +40,8 @@
     pub published: watch::Sender<Option<WorkerRecord>>,
     /// Timer service.
     pub timer: Timer,
+    /// Where counts go.
+    pub metrics: Metrics,
     /// Where events are logged.
     pub log: Logger,
 }
@@ -98,15 +101,8 @@
     /// that its worker reports to.
     pub fn new(parts: AgentParts, listener: TcpListener) -> (Agent, AgentHandle) {
         let (tx, rx) = unbounded_channel();
-        let (session_tx, mut session_rx) = unbounded_channel();
         let forward = tx.clone();
-        tokio::spawn(async move {
-            while let Some(event) = session_rx.recv().await {
-                if forward.send(Event::Session(event)).is_err() {
-                    break;
-                }
-            }
-        });
+        let tell = move |event| forward.send(Event::Session(event)).is_ok();
         tokio::spawn(accept(
             listener,
             tx.clone(),
@@ -115,7 +111,7 @@
         ));
         let agent = Agent {
             gate: Gate::new(parts.me.clone(), parts.limits, parts.log.clone()),
-            sessions: Sessions::new(parts.timer.clone(), session_tx),
+            sessions: Sessions::new(parts.timer.clone(), tell),
             tx: tx.clone(),
             rx,
             leaving: false,
@@ -219,10 +215,20 @@
         }
     }
 
+    fn count(&self, message: &ToEntry) {
+        if let ToEntry::Ended { end, run_us, .. } = message {
+            self.parts.metrics.count(&format!("runs.{}", end.name()), 1);
+            self.parts.metrics.time("run_ms", run_us / 1_000);
+        }
+    }
+
     fn carry_out(&mut self, now: Moment, action: GateAction) {
         let tx = self.tx.clone();
         match action {
-            GateAction::Send { session, message } => self.sessions.send(session, message),
+            GateAction::Send { session, message } => {
+                self.count(&message);
+                self.sessions.send(session, message);
+            }
             GateAction::Close(session) => self.lose(session),
             GateAction::Aim(addr) => self.parts.worker.aim(&addr),
             GateAction::Start(call) => {
--- a/src/ephemeral/entry.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -1,5 +1,7 @@
 //! The loop of an entry: feeds the dispatcher and carries out what it asks for.
 
+mod handle;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -10,13 +12,12 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 
-use crate::code::ResultCode;
 use crate::ephemeral::directory::{self, GateRecord};
 use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
-use crate::ephemeral::job::{JobId, JobSpec};
+use crate::ephemeral::job::JobId;
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{ConfigDocument, ProcessId, ToEntry, ToGate};
-use crate::ephemeral::routes::{Route, RouteTable};
+use crate::ephemeral::routes::RouteTable;
 use crate::ephemeral::session::{SessionEvent, SessionId, Sessions, dial};
 use crate::ephemeral::suspension::Suspension;
 use crate::error::Result;
@@ -24,6 +25,8 @@
 use crate::metrics::Metrics;
 use crate::store::{Store, StoreEntry};
 use crate::time::{Moment, Timer, micros};
+pub use handle::EntryHandle;
+use handle::{Submit, View};
 
 /// How often the dispatcher is told that time has passed.
 const TICK: Duration = Duration::from_millis(10);
@@ -59,14 +62,6 @@
     pub log: Logger,
 }
 
-struct Submit {
-    waiter: WaiterId,
-    spec: JobSpec,
-    route: Arc<Route>,
-    wait_us: u64,
-    reply: oneshot::Sender<Answer>,
-}
-
 enum Event {
     Submit(Box<Submit>),
     WaiterGone(WaiterId, JobId),
@@ -77,100 +72,6 @@
     Leave,
 }
 
-#[derive(Debug, Default)]
-struct View {
-    table: Arc<RouteTable>,
-    gates: usize,
-    jobs: usize,
-    leaving: bool,
-}
-
-/// Handle on an entry for its HTTP side.
-#[derive(Clone)]
-pub struct EntryHandle {
-    events: UnboundedSender<Event>,
-    view: Arc<Mutex<View>>,
-    waiters: Arc<std::sync::atomic::AtomicU64>,
-    /// Timer service.
-    pub timer: Timer,
-    /// Where counts go.
-    pub metrics: Metrics,
-    /// Where events are logged.
-    pub log: Logger,
-}
-
-/// Tells the entry when a caller is gone before its answer.
-struct WaiterGuard {
-    events: UnboundedSender<Event>,
-    waiter: WaiterId,
-    job: JobId,
-    answered: bool,
-}
-
-impl Drop for WaiterGuard {
-    fn drop(&mut self) {
-        if !self.answered {
-            let _ = self.events.send(Event::WaiterGone(self.waiter, self.job));
-        }
-    }
-}
-
-impl EntryHandle {
-    fn with_view<T>(&self, read: impl FnOnce(&View) -> T) -> T {
-        read(&self.view.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// The configuration in force.
-    pub fn table(&self) -> Arc<RouteTable> {
-        self.with_view(|view| view.table.clone())
-    }
-
-    /// Whether callers should be sent here.
-    pub fn ready(&self) -> bool {
-        self.with_view(|view| view.table.version > 0 && view.gates > 0 && !view.leaving)
-    }
-
-    /// Whether the entry is stopping.
-    pub fn leaving(&self) -> bool {
-        self.with_view(|view| view.leaving)
-    }
-
-    /// Number of open jobs.
-    pub fn open_jobs(&self) -> usize {
-        self.with_view(|view| view.jobs)
-    }
-
-    /// Takes no place among those that are sent callers any more.
-    pub fn leave(&self) {
-        let _ = self.events.send(Event::Leave);
-    }
-
-    /// Runs a job; the caller is taken as gone if the future is dropped.
-    pub async fn submit(&self, spec: JobSpec, route: Arc<Route>, wait: Duration) -> Answer {
-        let number = self
-            .waiters
-            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let (reply, answer) = oneshot::channel();
-        let mut guard = WaiterGuard {
-            events: self.events.clone(),
-            waiter: WaiterId(number),
-            job: spec.id,
-            answered: false,
-        };
-        let submit = Submit {
-            waiter: WaiterId(number),
-            spec,
-            route,
-            wait_us: micros(wait),
-            reply,
-        };
-        let _ = self.events.send(Event::Submit(Box::new(submit)));
-        let answer = answer.await;
-        guard.answered = true;
-        answer.unwrap_or_else(|_| Answer::not_run(ResultCode::Stopping, "the entry stopped"))
-    }
-}
-
 struct Dial {
     addr: SocketAddr,
     session: Option<SessionId>,
@@ -197,15 +98,8 @@
     /// An entry, and the handle for its HTTP side.
     pub fn new(parts: EntryParts) -> (Entry, EntryHandle) {
         let (tx, rx) = unbounded_channel();
-        let (session_tx, mut session_rx) = unbounded_channel();
         let forward = tx.clone();
-        tokio::spawn(async move {
-            while let Some(event) = session_rx.recv().await {
-                if forward.send(Event::Session(event)).is_err() {
-                    break;
-                }
-            }
-        });
+        let tell = move |event| forward.send(Event::Session(event)).is_ok();
         let view = Arc::new(Mutex::new(View::default()));
         let handle = EntryHandle {
             events: tx.clone(),
@@ -217,7 +111,7 @@
         };
         let entry = Entry {
             dispatcher: Dispatcher::new(parts.me.clone(), parts.limits, parts.log.clone()),
-            sessions: Sessions::new(parts.timer.clone(), session_tx),
+            sessions: Sessions::new(parts.timer.clone(), tell),
             dials: HashMap::new(),
             replies: HashMap::new(),
             view,
@@ -418,6 +312,9 @@
         if now.mono_us >= self.beat_us + micros(self.parts.limits.beat) {
             self.beat_us = now.mono_us;
             self.dispatcher.beat();
+            let (gates, jobs) = (self.dispatcher.open_gates(), self.dispatcher.open_jobs());
+            self.parts.metrics.gauge("gates_open", gates as u64);
+            self.parts.metrics.gauge("jobs_open", jobs as u64);
         }
     }
 
--- a/src/ephemeral/gate/life.rs
+++ b/src/ephemeral/gate/life.rs
@@ -20,8 +20,8 @@
     pub sequence: u64,
     /// Whether it says that it is leaving.
     pub leaving: bool,
-    /// Newest end that was taken note of.
-    pub last_seen: u64,
+    /// Number of the newest end that was received.
+    pub acked_end: u64,
     /// Whether its runs were listed since this gate knows of it.
     pub listed: bool,
     clock_ms: f64,
@@ -35,7 +35,7 @@
             traits: Arc::new(traits),
             sequence: 0,
             leaving: false,
-            last_seen: 0,
+            acked_end: 0,
             listed: false,
             clock_ms: 0.0,
             clock_at_us: now.mono_us,
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -129,7 +129,7 @@
             let call = HoldCall {
                 worker: Some(life.id()),
                 lease_until_ms: lease_until(life),
-                last_seen: life.last_seen,
+                acked_end: life.acked_end,
                 wait_ms,
                 limit: self.answers.limit(),
                 check: false,
@@ -141,7 +141,7 @@
             let call = HoldCall {
                 worker: Some(life.id()),
                 lease_until_ms: None,
-                last_seen: life.last_seen,
+                acked_end: life.acked_end,
                 wait_ms: 0,
                 limit: self.answers.limit(),
                 check: true,
@@ -182,8 +182,8 @@
         life.heard_clock(now, reply.clock_ms);
         let first = !life.listed;
         life.listed = true;
-        let last_seen = life.last_seen;
-        for row in reply.ended.iter().filter(|row| row.number > last_seen) {
+        let acked_end = life.acked_end;
+        for row in reply.ended.iter().filter(|row| row.number > acked_end) {
             self.worker_ended(now, row);
         }
         if first {
@@ -226,7 +226,7 @@
 
     fn worker_ended(&mut self, now: Moment, row: &EndedRow) {
         if let Some(life) = &mut self.life {
-            life.last_seen = life.last_seen.max(row.number);
+            life.acked_end = life.acked_end.max(row.number);
         }
         let state = self.runs.get(&row.run).map(|record| record.state);
         if matches!(state, Some(RunState::Queued { .. })) {
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -142,6 +142,19 @@
     NotRun(NotRunReason),
 }
 
+impl RunEnd {
+    /// Its name among the metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RunEnd::Done => "done",
+            RunEnd::Failed => "failed",
+            RunEnd::Stopped => "stopped",
+            RunEnd::Stalled => "stalled",
+            RunEnd::NotRun(_) => "not_run",
+        }
+    }
+}
+
 /// Why a run never began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotRunReason {
--- a/src/ephemeral/session.rs
+++ b/src/ephemeral/session.rs
@@ -11,6 +11,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -18,7 +19,7 @@
 use serde::de::DeserializeOwned;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::{Receiver, Sender, UnboundedSender, channel};
+use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio_stream::StreamExt;
 use tokio_util::codec::{Encoder, FramedRead, LengthDelimitedCodec};
 
@@ -66,6 +67,9 @@
     }
 }
 
+/// Hears what happens on sessions.
+type Tell<M> = Arc<dyn Fn(SessionEvent<M>) -> bool + Send + Sync>;
+
 struct Open<S> {
     frames: Sender<Vec<S>>,
     clock: FrameClock,
@@ -75,7 +79,7 @@
 /// The open sessions of a process; `S` goes out, `R` comes in.
 pub struct Sessions<S, R> {
     timer: Timer,
-    events: UnboundedSender<SessionEvent<R>>,
+    tell: Tell<R>,
     open: HashMap<SessionId, Open<S>>,
     last: u64,
 }
@@ -85,11 +89,15 @@
     S: Serialize + Send + 'static,
     R: DeserializeOwned + Send + 'static,
 {
-    /// No sessions; what happens on later ones is told to `events`.
-    pub fn new(timer: Timer, events: UnboundedSender<SessionEvent<R>>) -> Sessions<S, R> {
+    /// No sessions; `tell` hears what happens on later ones, and says whether it
+    /// still listens.
+    pub fn new(
+        timer: Timer,
+        tell: impl Fn(SessionEvent<R>) -> bool + Send + Sync + 'static,
+    ) -> Sessions<S, R> {
         Sessions {
             timer,
-            events,
+            tell: Arc::new(tell),
             open: HashMap::new(),
             last: 0,
         }
@@ -106,8 +114,8 @@
             outbox: Vec::new(),
         };
         self.open.insert(session, open);
-        let (timer, events) = (self.timer.clone(), self.events.clone());
-        tokio::spawn(async move { carry(session, stream, rx, timer, events).await });
+        let (timer, tell) = (self.timer.clone(), self.tell.clone());
+        tokio::spawn(async move { carry(session, stream, rx, timer, tell).await });
         session
     }
 
@@ -166,7 +174,7 @@
     stream: TcpStream,
     mut outgoing: Receiver<Vec<S>>,
     timer: Timer,
-    events: UnboundedSender<SessionEvent<R>>,
+    tell: Tell<R>,
 ) where
     S: Serialize,
     R: DeserializeOwned,
@@ -202,7 +210,7 @@
             let Ok(frame) = rmp_serde::from_slice::<Frame<R>>(&bytes) else {
                 break;
             };
-            if events.send(SessionEvent::Frame { session, frame }).is_err() {
+            if !tell(SessionEvent::Frame { session, frame }) {
                 break;
             }
         }
@@ -211,5 +219,5 @@
         () = writing => {}
         () = reading => {}
     }
-    let _ = events.send(SessionEvent::Closed(session));
+    tell(SessionEvent::Closed(session));
 }
--- a/src/ephemeral/worker.rs
+++ b/src/ephemeral/worker.rs
@@ -96,8 +96,8 @@
     pub worker: Option<Arc<str>>,
     /// New end of the lease on the worker's clock, in milliseconds.
     pub lease_until_ms: Option<u64>,
-    /// Last end that was taken note of.
-    pub last_seen: u64,
+    /// Number of the last end that was received; the worker forgets those.
+    pub acked_end: u64,
     /// How long the answer may wait for an end, in milliseconds.
     pub wait_ms: u64,
     /// Longest wait for the answer beyond that.
@@ -146,7 +146,7 @@
     pub clock_ms: u64,
     /// What runs.
     pub running: Vec<RunningRow>,
-    /// What ended since `last_seen`.
+    /// What ended after the acknowledged ones.
     pub ended: Vec<EndedRow>,
 }
 
--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -695,7 +695,7 @@
         let mut waiting = VecDeque::new();
         while let Some((at_us, answer)) = process.answers.pop_front() {
             let woken = matches!(&answer, Answered::Hold(_, call, true)
-                if worker.has_ended_since(call.last_seen));
+                if worker.has_ended_since(call.acked_end));
             if at_us > now_us && !woken {
                 waiting.push_back((at_us, answer));
                 continue;
@@ -865,7 +865,7 @@
         if !lost && call.worker.as_deref() == Some(self.workers[index].id.as_str()) {
             // The lease counts from the arrival, the lists from the answer.
             let renewal = HoldCall {
-                last_seen: call.last_seen,
+                acked_end: call.acked_end,
                 ..call.clone()
             };
             self.workers[index].hold(self.now_us, &renewal);
--- a/tests/ephemeral_fleet/worker.rs
+++ b/tests/ephemeral_fleet/worker.rs
@@ -135,7 +135,7 @@
         if let Some(until_ms) = call.lease_until_ms {
             self.lease_until_ms = self.lease_until_ms.max(until_ms);
         }
-        self.ended.retain(|row| row.number > call.last_seen);
+        self.ended.retain(|row| row.number > call.acked_end);
         let percent = |state: &Running| {
             let elapsed = now_us.saturating_sub(state.started_us) * 100;
             match self.hung {
@@ -154,7 +154,7 @@
         }
     }
 
-    pub fn has_ended_since(&self, last_seen: u64) -> bool {
-        self.ended.iter().any(|row| row.number > last_seen)
+    pub fn has_ended_since(&self, acked_end: u64) -> bool {
+        self.ended.iter().any(|row| row.number > acked_end)
     }
 }
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -156,7 +156,7 @@
         let call = HoldCall {
             worker: Some("w".into()),
             lease_until_ms: None,
-            last_seen: 0,
+            acked_end: 0,
             wait_ms: 200,
             limit: std::time::Duration::from_millis(25),
             check: false,
