--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -404,7 +404,7 @@
 fn failed(code: ResultCode, why: &str) -> Answer {
     let effect = match code {
         ResultCode::CannotRun => Effect::NotRun,
-        _ => Effect::Unknown,
+        _ => Effect::Ran,
     };
     Answer::failure(code, effect, why)
 }
