Fencing tokens from the worker's clock; true claims; numbers of runs; one move

A run that never left its gate uses no number; a rejected one leaps; where every gate was tried, one is tried again. - long work: tasks far longer than guessed were moved until their deadline; now once.

--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -42,11 +42,13 @@
     }
 
     fn open_runs(&self, name: &Arc<str>) -> Vec<OpenRun> {
+        let sent_to = self.gates.get(name).map_or(0, |gate| gate.incarnation);
         let mut open = Vec::new();
         for job in self.jobs.values() {
             let here = job.out().filter(|(gate, _)| *gate == name);
             open.extend(here.map(|(_, run)| OpenRun {
                 run,
+                sent_to,
                 needs: job.spec.needs,
                 expected_us: job.expected_us,
             }));
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -37,6 +37,8 @@
     pub failures: u32,
     /// Gates that had less room than their loads said.
     pub bounces: u32,
+    /// Times it was moved because it did not get on.
+    pub moves: u32,
     /// Gates where it did not end well.
     pub avoid: Vec<Arc<str>>,
 }
@@ -74,6 +76,7 @@
             runs: first_run,
             failures: 0,
             bounces: 0,
+            moves: 0,
             avoid: Vec::new(),
         };
         Job {
@@ -146,9 +149,10 @@
         self.tasks.iter().all(|task| task.state == TaskState::Done)
     }
 
-    /// The task that `run` belongs to, if it is the run that is out.
-    pub fn task_of(&mut self, id: RunId) -> Option<&mut Task> {
+    /// The task that `run` belongs to, if that is the run that is out, at `gate`.
+    pub fn task_of(&mut self, gate: &str, id: RunId) -> Option<&mut Task> {
         let task = self.tasks.get_mut(id.index as usize)?;
-        matches!(task.state, TaskState::At { run, .. } if run == id.run).then_some(task)
+        let out = matches!(&task.state, TaskState::At { gate: at, run } if **at == *gate && *run == id.run);
+        out.then_some(task)
     }
 }
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -37,7 +37,14 @@
 /// Gates with less room than they said that a task is turned away from before
 /// it waits at one.
 const MOST_BOUNCES: u32 = 3;
-/// Step of the run number after a worker rejected it as too low.
+/// Times that a task is moved for being slow; estimates may be far off, and a long
+/// task must end somewhere.
+const MOST_MOVES: u32 = 1;
+/// Times the expected wait for room after which a task looks for another gate.
+const WAIT_MARGIN: f64 = 1.5;
+/// Shortest wait at a gate, in microseconds; several round trips.
+const LEAST_WAIT_US: u64 = 10_000;
+/// Least step of the run number after a worker rejected it as too low.
 const RUN_STEP: u32 = 16;
 
 /// Names one caller that waits for an answer.
@@ -194,6 +201,7 @@
         let task = &mut job.tasks[index as usize];
         task.runs += 1;
         let bounces = task.bounces;
+        let movable = task.moves < MOST_MOVES;
         let run = RunId {
             job: id,
             index,
@@ -214,13 +222,10 @@
             payload: job.spec.payload.clone(),
             needs: job.spec.needs,
             priority: job.route.priority,
-            // Where room was expected, another gate is better than a wait.
-            patience_us: match choice.wait_us == 0 && bounces < MOST_BOUNCES {
-                true => 0,
-                false => patience_us,
-            },
+            patience_us: wait_at_gate_us(&choice, bounces).min(patience_us),
             due_us: job.latest_begin_us().saturating_sub(now.mono_us),
             expected_us: job.expected_us,
+            movable,
             number: gate.count(run, job.spec.needs),
         };
         slog::debug!(self.log, "task sent"; "run" => %run, "gate" => &*choice.gate,
@@ -244,13 +249,14 @@
         let probes = &self.probes;
         let due = |name: &Arc<str>| probes.get(name).is_none_or(|at_us| *at_us <= now.mono_us);
         let allowed = |(name, gate): &(&Arc<str>, &GateView)| {
-            gate.is_open()
-                && (!gate.load.suspect || !judges || due(name))
-                && !crowded(name)
-                && !task.avoid.contains(name)
+            gate.is_open() && (!gate.load.suspect || !judges || due(name)) && !crowded(name)
         };
-        let open = self.gates.iter().filter(allowed);
-        self.placer.choose(open, &want(now, job))
+        let want = want(now, job);
+        let fresh = |(name, _): &(&Arc<str>, &GateView)| !task.avoid.contains(name);
+        let others = self.gates.iter().filter(allowed).filter(fresh);
+        let choice = self.placer.choose(others, &want);
+        // Where every gate was tried, one that was tried is better than none.
+        choice.or_else(|| self.placer.choose(self.gates.iter().filter(allowed), &want))
     }
 
     fn place_backlog(&mut self, now: Moment) {
@@ -387,6 +393,16 @@
     }
 }
 
+/// How long a task may wait at a gate. Where room was expected, another gate is
+/// better than a wait; and where a wait turns out longer than expected, it is
+/// better to look again.
+fn wait_at_gate_us(choice: &Choice, bounces: u32) -> u64 {
+    match choice.wait_us == 0 && bounces < MOST_BOUNCES {
+        true => 0,
+        false => (choice.wait_us as f64 * WAIT_MARGIN) as u64 + LEAST_WAIT_US,
+    }
+}
+
 fn want(now: Moment, job: &Job) -> Want<'_> {
     Want {
         service: &job.route.service,
--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -35,7 +35,7 @@
             job.may_have_run = true;
         }
         let (route, expected_us) = (job.route.clone(), job.expected_us);
-        let Some(task) = job.task_of(run) else {
+        let Some(task) = job.task_of(gate, run) else {
             return;
         };
         task.state = TaskState::Waiting;
@@ -57,12 +57,16 @@
                     return;
                 }
             }
-            RunEnd::NotRun(NotRunReason::Rejected) => task.runs += super::RUN_STEP,
-            RunEnd::NotRun(NotRunReason::NoRoom) => task.bounces += 1,
+            // Another entry has used higher numbers for this task.
+            RunEnd::NotRun(NotRunReason::Rejected) => task.runs += task.runs.max(super::RUN_STEP),
+            RunEnd::NotRun(reason) if !reason.reached_worker() => task.runs -= 1,
             RunEnd::NotRun(_) | RunEnd::Stopped | RunEnd::Stalled => {}
         }
-        if end != RunEnd::NotRun(NotRunReason::NoRoom) {
-            task.avoid.push(gate.clone());
+        task.moves += u32::from(end == RunEnd::Stalled);
+        match end {
+            RunEnd::NotRun(NotRunReason::NoRoom) => task.bounces += 1,
+            RunEnd::NotRun(NotRunReason::Rejected) => {}
+            _ => task.avoid.push(gate.clone()),
         }
         if let Some(why) = job.withdrawn {
             if job.out().next().is_none() {
--- a/src/ephemeral/gate/life.rs
+++ b/src/ephemeral/gate/life.rs
@@ -22,7 +22,11 @@
     pub leaving: bool,
     /// Number of the newest end that was received.
     pub acked_end: u64,
-    /// Whether its runs were listed since this gate knows of it.
+    /// Fencing token of this gate: the worker's clock when the gate first heard it.
+    /// It rises from one life of the gate to the next without the store, so that
+    /// orders of an earlier gate that arrive late are ignored.
+    pub fence: Option<u64>,
+    /// Whether its runs were listed under the fencing token.
     pub listed: bool,
     clock_ms: f64,
     clock_at_us: u64,
@@ -36,6 +40,7 @@
             sequence: 0,
             leaving: false,
             acked_end: 0,
+            fence: None,
             listed: false,
             clock_ms: 0.0,
             clock_at_us: now.mono_us,
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -83,7 +83,10 @@
     /// Waits for room until `until_us`; should begin by `due_us`.
     Queued { due_us: u64, until_us: u64 },
     /// Claimed by its entry before the worker's lists came.
-    Claimed,
+    Claimed {
+        /// Whether an earlier life of the gate may have begun it.
+        began: bool,
+    },
     /// Ordered; no answer yet.
     Starting,
     /// On the worker.
@@ -106,6 +109,7 @@
     needs: Resources,
     payload: Arc<str>,
     expected_us: u64,
+    movable: bool,
     since_us: u64,
     state: RunState,
     /// How far it was at the last look.
@@ -234,7 +238,8 @@
                 return;
             }
             RunState::Stopping { .. } => return,
-            RunState::Starting | RunState::Claimed => false,
+            RunState::Starting => false,
+            RunState::Claimed { began } => began,
             RunState::Running => true,
         };
         record.state = RunState::Stopping {
@@ -252,6 +257,7 @@
             self.actions.push(GateAction::Stop(StopCall {
                 worker: life.id(),
                 run,
+                fence: life.fence.unwrap_or(0),
                 limit: self.answers.limit(),
             }));
         }
@@ -285,8 +291,11 @@
         };
         self.load_changed = true;
         self.tell(&past.owner, past.report(run));
-        self.past.insert(run, past);
-        self.past_order.push_back((now.mono_us, run));
+        // The number of a run that never left the gate may be used again.
+        if !matches!(end, RunEnd::NotRun(reason) if !reason.reached_worker()) {
+            self.past.insert(run, past);
+            self.past_order.push_back((now.mono_us, run));
+        }
     }
 
     fn forget_past(&mut self, now: Moment) {
--- a/src/ephemeral/gate/pace.rs
+++ b/src/ephemeral/gate/pace.rs
@@ -118,7 +118,7 @@
         let slow = self.health.is_slow();
         let too_slow = |record: &Run| {
             let elsewhere_us = record.expected_us as f64 * usual * MOVE_FACTOR + MOVE_US;
-            slow && record.left_at(here) > elsewhere_us
+            slow && record.movable && record.left_at(here) > elsewhere_us
         };
         let running = self
             .runs
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -128,6 +128,7 @@
             self.hold_pending = true;
             let call = HoldCall {
                 worker: Some(life.id()),
+                fence: life.fence,
                 lease_until_ms: lease_until(life),
                 acked_end: life.acked_end,
                 wait_ms,
@@ -140,6 +141,7 @@
             self.check_pending = true;
             let call = HoldCall {
                 worker: Some(life.id()),
+                fence: life.fence,
                 lease_until_ms: None,
                 acked_end: life.acked_end,
                 wait_ms: 0,
@@ -168,18 +170,28 @@
         }
         self.note_answer(now, answer.is_ok());
         match answer {
-            Ok(reply) => self.listed(now, sent, reply),
+            Ok(reply) => self.listed(now, sent, call, reply),
             Err(OrderError::OtherLife) => self.life_is_over(now, "another life answered"),
             Err(OrderError::Refused) => self.life_is_over(now, "nothing listens"),
             Err(err) => warn!(self.log, "hold unanswered"; "error" => %err),
         }
     }
 
-    fn listed(&mut self, now: Moment, sent: Moment, reply: HoldReply) {
+    fn listed(&mut self, now: Moment, sent: Moment, call: &HoldCall, reply: HoldReply) {
         let Some(life) = &mut self.life else {
             return;
         };
         life.heard_clock(now, reply.clock_ms);
+        if reply.fenced || call.fence.is_none() {
+            // Lists count only once earlier gates can change them no more.
+            life.fence = Some(reply.clock_ms + 1);
+            life.listed = false;
+            info!(self.log, "fencing token chosen"; "fence" => life.fence);
+            return;
+        }
+        if call.fence != life.fence {
+            return;
+        }
         let first = !life.listed;
         life.listed = true;
         let acked_end = life.acked_end;
@@ -216,7 +228,7 @@
         let missing: Vec<RunId> = self
             .runs
             .iter()
-            .filter(|(_, record)| record.state == RunState::Claimed)
+            .filter(|(_, record)| matches!(record.state, RunState::Claimed { .. }))
             .map(|(run, _)| *run)
             .collect();
         for run in missing {
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -41,6 +41,7 @@
             needs: order.needs,
             payload: order.payload,
             expected_us: order.expected_us,
+            movable: order.movable,
             since_us: now.mono_us,
             state: RunState::Queued { due_us, until_us },
             mark: None,
@@ -108,6 +109,7 @@
             run,
             payload: record.payload.clone(),
             lease_until_ms: life.lease_until(now, lease),
+            fence: life.fence.unwrap_or(0),
             limit: self.answers.limit(),
         }));
     }
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -138,12 +138,14 @@
         }
         let listed = self.life.as_ref().is_some_and(|life| life.listed);
         let adopted = self.unclaimed.remove(&run).is_some();
+        // An earlier life of this gate may have begun and even ended it.
+        let began = claimed.sent_to != self.me.incarnation;
         let state = match (listed, adopted) {
-            (false, _) => RunState::Claimed,
+            (false, _) => RunState::Claimed { began },
             (true, true) => RunState::Running,
             (true, false) => RunState::Stopping {
                 cause: StopCause::Unanswered,
-                began: false,
+                began,
                 asked_us: now.mono_us,
                 acked_us: None,
             },
@@ -154,6 +156,7 @@
             needs: claimed.needs,
             payload: "".into(),
             expected_us: claimed.expected_us,
+            movable: false,
             since_us: now.mono_us,
             state,
             mark: None,
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -68,6 +68,8 @@
 pub struct OpenRun {
     /// The run.
     pub run: RunId,
+    /// Life of the gate that it was sent to.
+    pub sent_to: u64,
     /// What it holds while it runs.
     pub needs: Resources,
     /// Run time that the entry expects, in microseconds.
@@ -93,6 +95,9 @@
     pub due_us: u64,
     /// Run time that the entry expects on a worker of usual speed, in microseconds.
     pub expected_us: u64,
+    /// Whether it may be stopped for being slow; one that was moved before may just
+    /// be longer than its caller guessed.
+    pub movable: bool,
     /// Place in the entry's count of starts in this session.
     pub number: u64,
 }
@@ -168,10 +173,15 @@
     Withdrawn,
     /// The order did not reach the worker, which bars it now.
     Unanswered,
-    /// The worker turned it down.
+    /// The worker turned it down, or has another run of the task.
     Rejected,
-    /// The gate does not know it.
-    Unknown,
+}
+
+impl NotRunReason {
+    /// Whether the worker may have heard of the run; its number is used up then.
+    pub fn reached_worker(self) -> bool {
+        matches!(self, NotRunReason::Unanswered | NotRunReason::Rejected)
+    }
 }
 
 /// State of a gate and its worker.
--- a/src/ephemeral/worker.rs
+++ b/src/ephemeral/worker.rs
@@ -61,6 +61,8 @@
     pub payload: Arc<str>,
     /// End of the lease, on the worker's clock, in milliseconds.
     pub lease_until_ms: u64,
+    /// Fencing token; the worker ignores lower ones than it has seen.
+    pub fence: u64,
     /// Longest wait for the answer.
     pub limit: Duration,
 }
@@ -72,6 +74,8 @@
     pub worker: Arc<str>,
     /// The run.
     pub run: RunId,
+    /// Fencing token.
+    pub fence: u64,
     /// Longest wait for the answer.
     pub limit: Duration,
 }
@@ -94,6 +98,8 @@
 pub struct HoldCall {
     /// Life of the worker that is meant; any, if unknown.
     pub worker: Option<Arc<str>>,
+    /// Fencing token; none while the gate has not chosen its own.
+    pub fence: Option<u64>,
     /// New end of the lease on the worker's clock, in milliseconds.
     pub lease_until_ms: Option<u64>,
     /// Number of the last end that was received; the worker forgets those.
@@ -144,6 +150,9 @@
 pub struct HoldReply {
     /// The worker's clock, in milliseconds.
     pub clock_ms: u64,
+    /// Whether the worker has seen a higher fencing token; the lists are empty
+    /// then.
+    pub fenced: bool,
     /// What runs.
     pub running: Vec<RunningRow>,
     /// What ended after the acknowledged ones.
--- a/tests/ephemeral_dispatcher.rs
+++ b/tests/ephemeral_dispatcher.rs
@@ -346,6 +346,85 @@
     assert_ne!(bench.starts[0].0, bench.starts[1].0);
 }
 
+/// Seed 18 of `ephemeral_safety`: numbers ran away with every turned-away start,
+/// and a job that came to another entry never caught up with them.
+#[test]
+fn a_run_that_never_left_its_gate_uses_up_no_number_and_a_rejected_one_leaps() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, job(1, 1), 0);
+    bench.ended(bench.starts[0], RunEnd::NotRun(NotRunReason::NoRoom));
+    assert_eq!(bench.starts[1].1.run, 1);
+    let mut last = 1;
+    for _ in 0..5 {
+        let start = *bench.starts.last().unwrap();
+        bench.ended(start, RunEnd::NotRun(NotRunReason::Rejected));
+        let run = bench.starts.last().unwrap().1.run;
+        assert!(run > 2 * last, "{last} then {run}");
+        last = run;
+    }
+    assert!(last > 200, "{last}");
+}
+
+/// A number may be used again at another gate, so a late word from the first must
+/// not count for the second.
+#[test]
+fn what_one_gate_says_of_a_run_does_not_count_for_another_gate() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, job(1, 1), 0);
+    let first = bench.starts[0];
+    bench.ended(first, RunEnd::NotRun(NotRunReason::NoRoom));
+    let second = bench.starts[1];
+    assert_eq!(first.1, second.1);
+    bench.ended(first, RunEnd::NotRun(NotRunReason::Unanswered));
+    assert_eq!(bench.starts.len(), 2);
+    bench.ended(second, RunEnd::Done);
+    assert_eq!(bench.codes(), [ResultCode::Complete]);
+}
+
+/// Seed 3 of `ephemeral_safety` with long work: tasks far longer than their estimate
+/// were moved from worker to worker until their deadline.
+#[test]
+fn a_task_is_moved_once_for_being_slow() {
+    let mut bench = Bench::new(3);
+    bench.submit(1, job(1, 1), 0);
+    bench.ended(bench.starts[0], RunEnd::Stalled);
+    let movable: Vec<bool> = bench
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            DispatchAction::Send {
+                message: ToGate::Start(order),
+                ..
+            } => Some(order.movable),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(movable, [true, false]);
+}
+
+#[test]
+fn where_every_gate_was_tried_one_of_them_is_tried_again() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, job(1, 1), 0);
+    bench.ended(bench.starts[0], RunEnd::Stalled);
+    assert_eq!(bench.starts.len(), 2);
+}
+
+#[test]
+fn a_task_waits_at_a_gate_only_about_as_long_as_was_expected() {
+    let mut bench = Bench::new(1);
+    bench.load(1, load(0, 20 * MS));
+    bench.submit(1, job(1, 1), 0);
+    let patience_us = bench.actions.iter().find_map(|action| match action {
+        DispatchAction::Send {
+            message: ToGate::Start(order),
+            ..
+        } => Some(order.patience_us),
+        _ => None,
+    });
+    assert_eq!(patience_us, Some(40 * MS));
+}
+
 #[test]
 fn a_job_of_which_nothing_ran_is_refused_once_what_was_sent_is_withdrawn() {
     let mut bench = Bench::new(1);
