--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -5,7 +5,7 @@
 use slog::info;
 
 use super::{Dispatcher, WaiterId, failed, refused};
-use crate::code::ResultCode;
+use crate::code::{Effect, ResultCode};
 use crate::ephemeral::dispatcher::job::TaskState;
 use crate::ephemeral::job::{JobId, RunId};
 use crate::ephemeral::message::{NotRunReason, RunEnd};
@@ -58,7 +58,16 @@
                 }
             }
             // Another entry has used higher numbers for this task.
-            RunEnd::NotRun(NotRunReason::Rejected) => task.runs += task.runs.max(super::RUN_STEP),
+            RunEnd::NotRun(NotRunReason::Rejected) => {
+                let step = task.runs.max(super::RUN_STEP);
+                task.runs = task.runs.saturating_add(step);
+            }
+            RunEnd::NotRun(NotRunReason::AlreadyHere) => {
+                let why = "another run of a task is not over";
+                let answer = Answer::failure(ResultCode::OutcomeUnknown, Effect::Unknown, why);
+                self.finish(now, run.job, answer);
+                return;
+            }
             RunEnd::NotRun(reason) if !reason.reached_worker() => task.runs -= 1,
             RunEnd::NotRun(_) | RunEnd::Stopped | RunEnd::Stalled => {}
         }
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -212,7 +212,9 @@
         let due_us = now.mono_us + micros(self.limits.silence);
         for row in running {
             if let Some(record) = self.runs.get_mut(&row.run) {
-                record.state = RunState::Running;
+                if matches!(record.state, RunState::Claimed { .. }) {
+                    record.state = RunState::Running;
+                }
                 continue;
             }
             info!(self.log, "run of an earlier gate"; "run" => %row.run);
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -22,7 +22,7 @@
         }
         if let Some(other) = self.other_run(run) {
             info!(self.log, "task is here already"; "run" => %run, "other" => %other);
-            let reason = NotRunReason::Rejected;
+            let reason = NotRunReason::AlreadyHere;
             let end = RunEnd::NotRun(reason);
             self.tell(
                 &owner,
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -173,8 +173,10 @@
     Withdrawn,
     /// The order did not reach the worker, which bars it now.
     Unanswered,
-    /// The worker turned it down, or has another run of the task.
+    /// The worker turned it down.
     Rejected,
+    /// Another run of the task is not over here; it must not run elsewhere either.
+    AlreadyHere,
 }
 
 impl NotRunReason {
--- a/tests/ephemeral_dispatcher.rs
+++ b/tests/ephemeral_dispatcher.rs
@@ -381,6 +381,18 @@
     assert_eq!(bench.codes(), [ResultCode::Complete]);
 }
 
+#[test]
+fn a_task_of_which_another_run_goes_on_is_started_nowhere() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, job(1, 2), 0);
+    let other = bench.starts[1].1;
+    let here = RunEnd::NotRun(NotRunReason::AlreadyHere);
+    bench.ended(bench.starts[0], here);
+    assert_eq!(bench.starts.len(), 2);
+    assert_eq!(bench.stops, [other]);
+    assert_eq!(bench.codes(), [ResultCode::OutcomeUnknown]);
+}
+
 /// Seed 3 of `ephemeral_safety` with long work: tasks far longer than their estimate
 /// were moved from worker to worker until their deadline.
 #[test]
