--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -27,6 +27,7 @@
         let gate = self.gates.entry(name.clone());
         let gate = gate.or_insert_with(|| GateView::new(now.mono_us));
         gate.begin_session();
+        gate.claimed = open.iter().map(|claimed| claimed.run).collect();
         if let Some(before) = gate.session.take() {
             self.sessions.remove(&before);
             self.actions.push(DispatchAction::Close(before));
@@ -102,10 +103,12 @@
             return;
         };
         view.session = Some(session);
+        let claimed = std::mem::take(&mut view.claimed);
         if view.incarnation != gate.incarnation {
             info!(self.log, "gate is new"; "gate" => &**name, "incarnation" => gate.incarnation);
             view.incarnation = gate.incarnation;
         }
+        self.withdraw_claims(name, session, &claimed);
         if let Some(document) = &self.config
             && document.version > config
         {
@@ -114,6 +117,20 @@
         }
     }
 
+    /// Stops what the hello claimed and nobody wants any more: between the hello
+    /// and its answer there was no session to send a stop on.
+    fn withdraw_claims(&mut self, name: &Arc<str>, session: SessionId, claimed: &[RunId]) {
+        let open = self.open_runs(name);
+        let unwanted = claimed
+            .iter()
+            .filter(|run| open.iter().all(|still| still.run != **run));
+        let stops = unwanted.map(|run| DispatchAction::Send {
+            session,
+            message: ToGate::Stop { run: *run },
+        });
+        self.actions.extend(stops);
+    }
+
     /// Keeps account of since when there has been a gate that takes work.
     fn note_service(&mut self, now: Moment) {
         if self.open_gates() == 0 {
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -42,6 +42,8 @@
     pub heard_us: u64,
     /// Its last load.
     pub load: GateLoad,
+    /// Runs that the hello of this session claimed.
+    pub claimed: Vec<RunId>,
     /// Starts sent in this session.
     pub sent: u64,
     /// Starts that the last load does not contain: their number and needs.
@@ -58,6 +60,7 @@
             incarnation: 0,
             heard_us: now_us,
             load: GateLoad::default(),
+            claimed: Vec::new(),
             sent: 0,
             unseen: VecDeque::new(),
             reserved_cpu_milli: 0,
--- a/tests/ephemeral_dispatcher.rs
+++ b/tests/ephemeral_dispatcher.rs
@@ -532,6 +532,28 @@
     assert_eq!(open, Some(1));
 }
 
+/// Seed 2,975 of `ephemeral_safety`: a job that ended between the hello that claimed
+/// its run and the gate's answer left the run going.
+#[test]
+fn a_claim_that_is_not_wanted_any_more_is_stopped_when_the_gate_answers() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, job(1, 1), 0);
+    bench.dispatcher.disconnected(SessionId(1));
+    let name: Arc<str> = "g1".into();
+    bench.dispatcher.connected(bench.now, &name, SessionId(9));
+    bench
+        .dispatcher
+        .waiter_gone(bench.now, WaiterId(1), JobId(1));
+    bench.collect();
+    assert!(bench.stops.is_empty(), "there is no session yet");
+    let gate = ProcessId {
+        name,
+        incarnation: 1,
+    };
+    bench.tell(9, ToEntry::Hello { gate, config: 0 });
+    assert_eq!(bench.stops, [bench.starts[0].1]);
+}
+
 #[test]
 fn nothing_is_sent_to_a_suspect_gate_but_one_probe() {
     let mut bench = Bench::new(3);
