Do not prolong runs without an owner while their claims are awaited

Ruled out: one gate's death alone (silence and lease covered it). The wait for claims is half the silence now, so that adopted runs keep their lease.

--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -111,6 +111,8 @@
         let lease = self.limits.lease;
         let mute = self.is_mute(now);
         let busy = !self.runs.is_empty();
+        // A run without an owner must not outlive the lease that its last gate gave.
+        let orphans = !self.unclaimed.is_empty();
         let Some(life) = &mut self.life else {
             return;
         };
@@ -121,7 +123,7 @@
         };
         let wait_ms = wait.as_millis() as u64;
         let lease_until = |life: &mut super::Life| {
-            let renews = life.has_clock() && life.listed && !mute;
+            let renews = life.has_clock() && life.listed && !mute && !orphans;
             renews.then(|| life.lease_until(now, lease))
         };
         if !self.hold_pending {
@@ -209,7 +211,7 @@
     }
 
     fn find_unclaimed(&mut self, now: Moment, running: &[RunningRow]) {
-        let due_us = now.mono_us + micros(self.limits.silence);
+        let due_us = now.mono_us + micros(self.limits.claim);
         for row in running {
             if let Some(record) = self.runs.get_mut(&row.run) {
                 if matches!(record.state, RunState::Claimed { .. }) {
--- a/src/ephemeral/limits.rs
+++ b/src/ephemeral/limits.rs
@@ -34,6 +34,9 @@
     pub silence: Duration,
     /// Oldest frame that is still acted on.
     pub frame_age: Duration,
+    /// How long a gate that starts anew waits for entries to claim the runs that it
+    /// finds; it does not renew the worker's lease meanwhile.
+    pub claim: Duration,
     /// Lease that runs are given on the worker.
     pub lease: Duration,
     /// Longest time that a worker takes to stop a run.
@@ -51,6 +54,7 @@
             beat: silence / BEATS_IN_SILENCE,
             silence,
             frame_age: silence / 2,
+            claim: silence / 2,
             lease: resend.mul_f64(LEASE_SHARE).min(most_lease),
             stop,
             resend,
