--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -846,17 +846,15 @@
 
     fn order_stop(&mut self, index: usize, run: RunId, fence: u64) {
         let (lost, at_us) = self.fate(index);
+        if let (true, Some(at_us)) = (lost, at_us) {
+            self.late.push((at_us, Late::Stop(index, run, fence)));
+        }
         let answer = match lost {
             true => Err(OrderError::Unanswered),
-            false => Ok(()),
+            false if self.workers[index].stop(self.now_us, run, fence) => Ok(()),
+            // The platform answers 409, which the adapter takes for no answer.
+            false => Err(OrderError::Protocol),
         };
-        match (lost, at_us) {
-            (true, Some(at_us)) => {
-                self.late.push((at_us, Late::Stop(index, run, fence)));
-            }
-            (false, _) => self.workers[index].stop(self.now_us, run, fence),
-            (true, None) => {}
-        }
         let wait_us = if lost { ORDER_LIMIT_US } else { STEP_US };
         let at_us = self.now_us + wait_us;
         self.answer_at(index, at_us, Answered::Stop(run, answer));
@@ -894,7 +892,9 @@
                 Late::Start(index, call) => {
                     self.begin(index, &call);
                 }
-                Late::Stop(index, run, fence) => self.workers[index].stop(now_us, run, fence),
+                Late::Stop(index, run, fence) => {
+                    self.workers[index].stop(now_us, run, fence);
+                }
             }
         }
     }
--- a/tests/ephemeral_fleet/worker.rs
+++ b/tests/ephemeral_fleet/worker.rs
@@ -135,9 +135,11 @@
         admits
     }
 
-    pub fn stop(&mut self, now_us: u64, run: RunId, fence: u64) {
+    /// Bars or stops a run; `false`, and nothing done, under a fencing token that
+    /// is too low.
+    pub fn stop(&mut self, now_us: u64, run: RunId, fence: u64) -> bool {
         if !self.admits(fence) {
-            return;
+            return false;
         }
         match self.running.get_mut(&run) {
             Some(running) => {
@@ -145,6 +147,7 @@
             }
             None => self.bar(run),
         }
+        true
     }
 
     pub fn hold(&mut self, now_us: u64, call: &HoldCall) -> HoldReply {
