Drop two fields that nothing read; bound the numbers of runs

Cause: reading the diff: a gate noted when it told an entry its load, and starts carried a priority that gates do not use; run numbers could double without bound.

--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -221,7 +221,6 @@
             run,
             payload: job.spec.payload.clone(),
             needs: job.spec.needs,
-            priority: job.route.priority,
             patience_us: wait_at_gate_us(&choice, bounces).min(patience_us),
             due_us: job.latest_begin_us().saturating_sub(now.mono_us),
             expected_us: job.expected_us,
--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -12,6 +12,9 @@
 use crate::message::Answer;
 use crate::time::Moment;
 
+/// Highest number from which a run still leaps; beyond it numbers would run out.
+const MOST_RUNS: u32 = 1 << 30;
+
 impl Dispatcher {
     pub(super) fn began(&mut self, run: RunId) {
         if let Some(job) = self.jobs.get_mut(&run.job) {
@@ -60,7 +63,7 @@
             // Another entry has used higher numbers for this task.
             RunEnd::NotRun(NotRunReason::Rejected) => {
                 let step = task.runs.max(super::RUN_STEP);
-                task.runs = task.runs.saturating_add(step);
+                task.runs = task.runs.saturating_add(step).min(MOST_RUNS);
             }
             RunEnd::NotRun(NotRunReason::AlreadyHere) => {
                 let why = "another run of a task is not over";
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -19,8 +19,6 @@
     heard_us: u64,
     /// Last of its starts that arrived.
     seen: u64,
-    /// When it was last sent a load.
-    told_us: u64,
 }
 
 impl Gate {
@@ -75,7 +73,6 @@
             session: Some(session),
             heard_us: now.mono_us,
             seen: 0,
-            told_us: 0,
         };
         if let Some(before) = self.owners.insert(entry.clone(), owner)
             && let Some(old) = before.session
@@ -239,12 +236,9 @@
         self.load_sent_us = now.mono_us;
         let connected: Vec<(ProcessId, u64)> = self
             .owners
-            .iter_mut()
+            .iter()
             .filter(|(_, owner)| owner.session.is_some())
-            .map(|(entry, owner)| {
-                owner.told_us = now.mono_us;
-                (entry.clone(), owner.seen)
-            })
+            .map(|(entry, owner)| (entry.clone(), owner.seen))
             .collect();
         for (entry, seen) in connected {
             let load = self.load(now, seen);
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -85,8 +85,6 @@
     pub payload: Arc<str>,
     /// What it holds while it runs.
     pub needs: Resources,
-    /// Priority; 0 is the most urgent.
-    pub priority: u8,
     /// Longest wait for room, in microseconds; refused afterwards, and at once
     /// if it is 0.
     pub patience_us: u64,
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -145,7 +145,6 @@
             run,
             payload: "p".into(),
             needs: resources(cpu_milli),
-            priority: 0,
             patience_us: patience_ms * MS,
             due_us: patience_ms * MS,
             expected_us: 100 * MS,
