--- a/tests/ephemeral_dispatcher.rs
+++ b/tests/ephemeral_dispatcher.rs
@@ -605,3 +605,15 @@
         .collect();
     assert_eq!(learned, [6]);
 }
+
+/// Found by 5,000 cases of `ephemeral_safety`: the leaps overflowed.
+#[test]
+fn numbers_of_runs_do_not_run_out() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, job(1, 1), 0);
+    for _ in 0..60 {
+        let start = *bench.starts.last().unwrap();
+        bench.ended(start, RunEnd::NotRun(NotRunReason::Rejected));
+    }
+    assert_eq!(bench.starts.len(), 61);
+}
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -24,6 +24,8 @@
     now: Moment,
     actions: Vec<GateAction>,
     sent: u64,
+    /// Whether the runs that are ordered may be moved.
+    movable: bool,
 }
 
 fn resources(cpu_milli: u64) -> Resources {
@@ -85,6 +87,7 @@
             now,
             actions: Vec::new(),
             sent: 0,
+            movable: true,
         };
         bench.gate.worker_report(bench.now, report("w", false, 1));
         bench.collect();
@@ -148,7 +151,7 @@
             patience_us: patience_ms * MS,
             due_us: patience_ms * MS,
             expected_us: 100 * MS,
-            movable: true,
+            movable: self.movable,
             number: self.sent,
         };
         let message = ToGate::Start(Box::new(order));
@@ -629,3 +632,20 @@
     bench.lists(Vec::new(), vec![(1, run(7), WorkerEnd::Stopped)]);
     assert_eq!(bench.ends(), [(run(7), RunEnd::Stopped)]);
 }
+
+#[test]
+fn a_run_that_was_moved_before_stays_on_a_slow_worker() {
+    let mut bench = Bench::ready();
+    bench.movable = false;
+    let runs = [run(1), run(2), run(3)];
+    for run in runs {
+        bench.order(run, 100, 100);
+        bench.started(run, Ok(StartReply::Running));
+    }
+    for percent in [4, 8, 12, 16] {
+        bench.pass(40);
+        bench.gate.heard(bench.now, ENTRY);
+        bench.lists(runs.map(|run| (run, percent)).to_vec(), Vec::new());
+    }
+    assert!(bench.stops().is_empty());
+}
