--- a/src/error.rs
+++ b/src/error.rs
@@ -19,6 +19,11 @@
             source(err)
             display("{}", err)
         }
+        /// An address of the settings cannot be listened on; the key names it.
+        Listen(key: &'static str, addr: std::net::SocketAddr, err: std::io::Error) {
+            source(err)
+            display("{}: cannot listen on {}: {}", key, addr, err)
+        }
         /// Settings or a configuration are wrong; one line a fault.
         Invalid(faults: Vec<String>) {
             display("{}", faults.join("\n"))
@@ -61,7 +66,7 @@
         match self {
             Error::Other(_) => 1,
             Error::Invalid(_) | Error::BadId(_) | Error::Query(..) => 2,
-            Error::Io(_) | Error::Store(_) | Error::Unreachable(_) => 3,
+            Error::Io(_) | Error::Listen(..) | Error::Store(_) | Error::Unreachable(_) => 3,
             Error::Conflict(_) => 4,
             Error::Refused(..) => 5,
         }
