Dial a gate that is away so often that it is found within a quarter of its absence

Cause: after all power is lost, entries that start before the workers' machines wait 300 ms for a connection and pause 100 ms more; a dark machine says nothing. Change: attempts begin at 40 ms and grow by a quarter; dialing is a state machine of its own (entry/dials.rs), tested without sockets. The log line of a job's end says how long its caller waits. Ruled out: gates that come back late (the third entry, which started 0.2 s later, had all within 15 ms); the store (records were read 13 ms after the start).

--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -375,6 +375,7 @@
         info!(self.log, "job over"; "job" => %job.spec.id, "route" => &*job.route.name,
             "code" => answer.code.name(), "effect" => ?answer.effect, "why" => &answer.message,
             "took_us" => now.mono_us.saturating_sub(job.arrived_us),
+            "caller_waits_us" => job.deadline_us - job.arrived_us,
             "expected_us" => job.expected_us, "tasks" => job.spec.count,
             "runs" => job.tasks.iter().map(|task| task.runs).max(),
             "objective_us" => job.latest_begin_us().saturating_sub(job.arrived_us));
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -1,9 +1,9 @@
 //! The loop of an entry: feeds the dispatcher and carries out what it asks for.
 
+pub mod dials;
 mod handle;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -25,17 +25,12 @@
 use crate::metrics::Metrics;
 use crate::store::{Store, StoreEntry};
 use crate::time::{Moment, Timer, micros};
+use dials::Dials;
 pub use handle::EntryHandle;
 use handle::{Submit, View};
 
 /// How often the dispatcher is told that time has passed.
 const TICK: Duration = Duration::from_millis(10);
-/// Pause before a gate is dialed again.
-const REDIAL: Duration = Duration::from_millis(100);
-/// How long a gate without a record is still dialed (the users' letter: two
-/// seconds after the store is back).
-const MISSING: Duration = Duration::from_secs(2);
-
 /// Reads a configuration document.
 pub trait ConfigReader: Send + Sync {
     /// The routes of a document.
@@ -72,20 +67,12 @@
     Leave,
 }
 
-struct Dial {
-    addr: SocketAddr,
-    session: Option<SessionId>,
-    dialing: bool,
-    /// Since when it has no record, if so.
-    missing_us: Option<u64>,
-}
-
 /// An entry.
 pub struct Entry {
     parts: EntryParts,
     dispatcher: Dispatcher,
     sessions: Sessions<ToGate, ToEntry>,
-    dials: HashMap<Arc<str>, Dial>,
+    dials: Dials,
     replies: HashMap<WaiterId, oneshot::Sender<Answer>>,
     view: Arc<Mutex<View>>,
     tx: UnboundedSender<Event>,
@@ -112,7 +99,7 @@
         let entry = Entry {
             dispatcher: Dispatcher::new(parts.me.clone(), parts.limits, parts.log.clone()),
             sessions: Sessions::new(parts.timer.clone(), tell),
-            dials: HashMap::new(),
+            dials: Dials::default(),
             replies: HashMap::new(),
             view,
             tx,
@@ -201,7 +188,7 @@
             }
             Event::Session(SessionEvent::Closed(session)) => self.lose(session),
             Event::Dialed(name, stream) => self.dialed(now, &name, stream),
-            Event::Gates(records) => self.know_gates(now, records),
+            Event::Gates(records) => self.dials.know(now, records),
             Event::Config(document) => self.learn(document, "store"),
             Event::Leave => {
                 info!(self.parts.log, "entry is leaving"; "open_jobs" => self.dispatcher.open_jobs());
@@ -224,67 +211,28 @@
     fn lose(&mut self, session: SessionId) {
         self.sessions.close(session);
         self.dispatcher.disconnected(session);
-        for dial in self.dials.values_mut() {
-            if dial.session == Some(session) {
-                dial.session = None;
-            }
-        }
-    }
-
-    fn know_gates(&mut self, now: Moment, records: Vec<GateRecord>) {
-        for (name, dial) in &mut self.dials {
-            let listed = records.iter().any(|record| record.gate.name == *name);
-            match listed {
-                true => dial.missing_us = None,
-                false => {
-                    dial.missing_us.get_or_insert(now.mono_us);
-                }
-            }
-        }
-        for record in records {
-            let fresh = Dial {
-                addr: record.addr,
-                session: None,
-                dialing: false,
-                missing_us: None,
-            };
-            let dial = self.dials.entry(record.gate.name).or_insert(fresh);
-            dial.addr = record.addr;
-        }
+        self.dials.lost(session);
     }
 
     fn dial_missing(&mut self, now: Moment) {
-        let gone_us = micros(MISSING);
-        self.dials.retain(|_, dial| {
-            let missing = dial.missing_us.is_some_and(|at| now.mono_us > at + gone_us);
-            !(missing && dial.session.is_none() && !dial.dialing)
-        });
-        for (name, dial_state) in &mut self.dials {
-            if dial_state.session.is_some() || dial_state.dialing {
-                continue;
-            }
-            dial_state.dialing = true;
-            let (name, addr) = (name.clone(), dial_state.addr);
+        for attempt in self.dials.attempts(now) {
             let (timer, tx) = (self.parts.timer.clone(), self.tx.clone());
             tokio::spawn(async move {
-                let stream = dial(&timer, addr).await;
-                if stream.is_none() {
-                    timer.sleep(REDIAL).await;
-                }
-                let _ = tx.send(Event::Dialed(name, stream));
+                let stream = dial(&timer, attempt.addr, attempt.limit).await;
+                let _ = tx.send(Event::Dialed(attempt.gate, stream));
             });
         }
     }
 
-    fn dialed(&mut self, now: Moment, name: &Arc<str>, stream: Option<TcpStream>) {
-        let Some(dial) = self.dials.get_mut(name) else {
+    fn dialed(&mut self, now: Moment, gate: &Arc<str>, stream: Option<TcpStream>) {
+        let Some(stream) = stream else {
+            self.dials.failed(gate);
             return;
         };
-        dial.dialing = false;
-        if let Some(stream) = stream {
-            let session = self.sessions.open(stream);
-            dial.session = Some(session);
-            self.dispatcher.connected(now, name, session);
+        let sessions = &mut self.sessions;
+        let session = self.dials.connected(gate, || sessions.open(stream));
+        if let Some(session) = session {
+            self.dispatcher.connected(now, gate, session);
         }
     }
 
--- a/src/ephemeral/session.rs
+++ b/src/ephemeral/session.rs
@@ -30,8 +30,6 @@
 const FRAME_BYTES: usize = 2 << 20;
 /// Frames that may wait for a slow peer before the session is closed.
 const FRAMES_WAITING: usize = 256;
-/// Longest wait for a connection.
-const DIAL_LIMIT: Duration = Duration::from_millis(300);
 
 /// Names a session within this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -162,9 +160,9 @@
     }
 }
 
-/// Connects to a gate.
-pub async fn dial(timer: &Timer, addr: SocketAddr) -> Option<TcpStream> {
-    let dialing = timer.within(DIAL_LIMIT, TcpStream::connect(addr)).await;
+/// Connects to a gate, for at most `limit`.
+pub async fn dial(timer: &Timer, addr: SocketAddr, limit: Duration) -> Option<TcpStream> {
+    let dialing = timer.within(limit, TcpStream::connect(addr)).await;
     dialing.and_then(Result::ok)
 }
 
--- /dev/null
+++ b/tests/ephemeral_dials.rs
@@ -0,0 +1,118 @@
+//! When an entry dials its gates.
+
+use std::time::Duration;
+
+use winghold::ephemeral::directory::GateRecord;
+use winghold::ephemeral::entry::dials::Dials;
+use winghold::ephemeral::message::ProcessId;
+use winghold::ephemeral::session::SessionId;
+use winghold::time::{Moment, micros};
+
+const MS: u64 = 1_000;
+/// How often the entry's loop turns.
+const TURN_US: u64 = 10 * MS;
+
+fn at(mono_us: u64) -> Moment {
+    Moment {
+        mono_us,
+        wall_ms: 0,
+    }
+}
+
+fn record(port: u16) -> GateRecord {
+    GateRecord {
+        gate: ProcessId {
+            name: "g".into(),
+            incarnation: 1,
+        },
+        addr: ([127, 0, 0, 1], port).into(),
+        worker: None,
+    }
+}
+
+/// Starts of attempts over `span` to a machine that says nothing.
+fn attempts_in_silence(span: Duration) -> Vec<u64> {
+    let mut dials = Dials::default();
+    dials.know(at(0), vec![record(1)]);
+    let (mut starts, mut pending) = (Vec::new(), None);
+    for now_us in (0..micros(span)).step_by(TURN_US as usize) {
+        if pending.is_some_and(|until_us| until_us <= now_us) {
+            dials.failed("g");
+            pending = None;
+        }
+        for attempt in dials.attempts(at(now_us)) {
+            starts.push(now_us);
+            pending = Some(now_us + micros(attempt.limit));
+        }
+    }
+    starts
+}
+
+#[test]
+fn a_gate_that_was_dark_is_found_within_a_quarter_of_its_absence() {
+    let starts = attempts_in_silence(Duration::from_secs(5));
+    for pair in starts.windows(2) {
+        let most_us = pair[0] / 4 + 60 * MS;
+        assert!(pair[1] - pair[0] <= most_us, "{pair:?} of {starts:?}");
+    }
+}
+
+#[test]
+fn a_gate_that_stays_away_costs_few_attempts() {
+    let starts = attempts_in_silence(Duration::from_secs(30));
+    assert!(starts.len() < 90, "{} attempts", starts.len());
+}
+
+#[test]
+fn a_refused_attempt_is_not_repeated_at_once() {
+    let mut dials = Dials::default();
+    dials.know(at(0), vec![record(1)]);
+    assert_eq!(dials.attempts(at(0)).len(), 1);
+    dials.failed("g");
+    assert!(dials.attempts(at(10 * MS)).is_empty());
+    assert_eq!(dials.attempts(at(40 * MS)).len(), 1);
+}
+
+#[test]
+fn a_session_that_is_lost_is_replaced_at_once() {
+    let mut dials = Dials::default();
+    dials.know(at(0), vec![record(1)]);
+    assert_eq!(dials.attempts(at(0)).len(), 1);
+    assert_eq!(dials.connected("g", || SessionId(7)), Some(SessionId(7)));
+    assert!(dials.attempts(at(500 * MS)).is_empty());
+    dials.lost(SessionId(7));
+    assert_eq!(dials.attempts(at(500 * MS)).len(), 1);
+}
+
+#[test]
+fn a_gate_that_moved_is_dialed_there_without_delay() {
+    let mut dials = Dials::default();
+    dials.know(at(0), vec![record(1)]);
+    for turn in 0..200 {
+        if !dials.attempts(at(turn * TURN_US)).is_empty() {
+            dials.failed("g");
+        }
+    }
+    dials.know(at(2_000 * MS), vec![record(2)]);
+    let due = (200..240).find(|turn| !dials.attempts(at(turn * TURN_US)).is_empty());
+    let again = due.map(|turn| {
+        dials.failed("g");
+        (turn + 1..240).find(|turn| !dials.attempts(at(turn * TURN_US)).is_empty())
+    });
+    let (first, second) = (due.unwrap(), again.flatten().unwrap());
+    assert_eq!(first, 200);
+    assert!(second - first <= 5, "turns {first} and {second}");
+}
+
+#[test]
+fn a_gate_without_a_record_is_forgotten_unless_its_session_lives() {
+    let mut dials = Dials::default();
+    dials.know(at(0), vec![record(1)]);
+    assert_eq!(dials.attempts(at(0)).len(), 1);
+    dials.connected("g", || SessionId(1));
+    dials.know(at(100 * MS), Vec::new());
+    assert!(dials.attempts(at(5_000 * MS)).is_empty());
+    dials.lost(SessionId(1));
+    assert!(dials.attempts(at(5_100 * MS)).is_empty(), "forgotten");
+    assert_eq!(dials.connected("g", || SessionId(2)), None);
+}
