Read the store anew without waiting for an answer that is lost

Change: a read that waits for its answer does not hold up the next one; the pause grows as for dials (backoff.rs). A request waits up to 35 ms for the first configuration. A watch waits 2.5 s, not 10: a store that falls silent leaves it without an answer, and a change soon after the outage would have been in force only when the watch had run out. Ruled out: configuration from gates (their addresses come from the same store).

--- a/src/ephemeral/directory.rs
+++ b/src/ephemeral/directory.rs
@@ -14,7 +14,9 @@
 use slog::{Logger, debug, info, warn};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
+use crate::ephemeral::backoff::Backoff;
 use crate::ephemeral::message::{ProcessId, WorkerTraits};
 use crate::store::{Expect, LeaseId, Store, StoreEntry, StoreError, StoreReply, StoreRequest};
 use crate::time::Timer;
@@ -27,10 +29,12 @@
 /// Pause between two renewals, each with a look at the record; a record that
 /// lapsed is back within it.
 const RENEWAL: Duration = Duration::from_millis(1_500);
-/// Wait of a watch for a change.
-const WATCH: Duration = Duration::from_secs(10);
-/// Pause after a call that failed; eleven gates and three entries then make
-/// less than a hundred calls a second in an outage.
+/// Wait of a watch for a change: a store that falls silent may leave it without an
+/// answer, and changes made after its return are in force everywhere within 5 s
+/// (the platform's `contact_ms` and `config_ms`).
+const WATCH: Duration = Duration::from_millis(2_500);
+/// Pause after a record could not be kept; eleven gates then make less than
+/// sixty calls a second in an outage.
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Record of a gate.
@@ -178,6 +182,38 @@
     serde_json::to_vec(record).map_or_else(|_| Bytes::new(), Bytes::from)
 }
 
+/// Reads the entries under a prefix, for as long as it takes.
+///
+/// A call that has no answer yet does not hold up the next one: the first call
+/// of a process often meets the store's return from an outage, and an answer
+/// that is lost costs its whole time limit.
+async fn read_anew(
+    store: &Arc<dyn Store>,
+    timer: &Timer,
+    prefix: &str,
+    reachable: &mut Reachable<'_>,
+) -> (u64, Vec<StoreEntry>) {
+    let mut calls = JoinSet::new();
+    let mut backoff = Backoff::default();
+    loop {
+        let (store, prefix) = (store.clone(), prefix.to_string());
+        calls.spawn(async move { store.call(StoreRequest::Get { prefix }).await });
+        let pause = timer.sleep(backoff.pause());
+        tokio::pin!(pause);
+        loop {
+            let reply = tokio::select! {
+                Some(Ok(reply)) = calls.join_next() => reply,
+                () = &mut pause => break,
+            };
+            reachable.note(&reply);
+            if let Ok(StoreReply::Entries { revision, entries }) = reply {
+                return (revision, entries);
+            }
+        }
+        backoff.grow();
+    }
+}
+
 /// Entries under a prefix, read anew whenever one of them changes.
 pub async fn follow(
     store: Arc<dyn Store>,
@@ -192,38 +228,32 @@
         what,
         up: true,
     };
-    let mut known = None;
+    let mut backoff = Backoff::default();
     loop {
-        let req = match known {
-            None => StoreRequest::Get {
-                prefix: prefix.to_string(),
-            },
-            Some(after) => StoreRequest::Watch {
+        let (mut known, entries) = read_anew(&store, &timer, prefix, &mut reachable).await;
+        if !tell(entries) {
+            return;
+        }
+        loop {
+            let watch = StoreRequest::Watch {
                 prefix: prefix.to_string(),
-                after,
+                after: known,
                 wait_ms: WATCH.as_millis() as u64,
-            },
-        };
-        let reply = store.call(req).await;
-        reachable.note(&reply);
-        match reply {
-            Ok(StoreReply::Entries { revision, entries }) => {
-                let changed = known != Some(revision);
-                known = Some(revision);
-                if changed && !tell(entries) {
-                    return;
-                }
-            }
-            Ok(other) => {
-                debug!(log, "watch begins anew"; "for" => what, "reply" => ?other);
-                known = None;
-                timer.sleep(PAUSE).await;
-            }
-            Err(_) => {
-                known = None;
-                timer.sleep(PAUSE).await;
+            };
+            let reply = store.call(watch).await;
+            reachable.note(&reply);
+            let Ok(StoreReply::Entries { revision, entries }) = reply else {
+                debug!(log, "watch begins anew"; "for" => what, "reply" => ?reply);
+                break;
+            };
+            backoff = Backoff::default();
+            if revision != known && !tell(entries) {
+                return;
             }
+            known = revision;
         }
+        timer.sleep(backoff.pause()).await;
+        backoff.grow();
     }
 }
 
--- a/src/ephemeral/entry/dials.rs
+++ b/src/ephemeral/entry/dials.rs
@@ -2,25 +2,19 @@
 //!
 //! A gate that is away is dialed again and again. A machine without power says
 //! nothing, and the first packet of an attempt is sent again only after a second,
-//! so an attempt that gets no answer is given up early and begun anew. The pause
-//! grows with the absence: a gate that comes back is found within a quarter of
-//! the time that it was away, and one that stays away costs little.
+//! so an attempt that gets no answer is given up early and begun anew, as
+//! [`Backoff`] says.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::ephemeral::backoff::Backoff;
 use crate::ephemeral::directory::GateRecord;
 use crate::ephemeral::session::SessionId;
 use crate::time::{Moment, micros};
 
-/// Length of the first attempt: many round trips between failure domains (1 ms).
-const FIRST_ATTEMPT: Duration = Duration::from_millis(40);
-/// Times the last attempt that the next one is given.
-const GROWTH: f64 = 1.25;
-/// Longest attempt; two fit into the time after which a record is given up.
-const LONGEST_ATTEMPT: Duration = Duration::from_millis(400);
 /// How long a gate without a record is still dialed (the users' letter: two
 /// seconds after the store is back).
 const MISSING: Duration = Duration::from_secs(2);
@@ -41,8 +35,8 @@
     addr: SocketAddr,
     session: Option<SessionId>,
     pending: bool,
-    /// Length of the next attempt.
-    next_limit: Duration,
+    /// Its pause is also the length of the next attempt.
+    backoff: Backoff,
     /// Earliest time of the next attempt, in monotonic microseconds.
     next_us: u64,
     /// Since when it has no record, if so.
@@ -55,7 +49,7 @@
             addr,
             session: None,
             pending: false,
-            next_limit: FIRST_ATTEMPT,
+            backoff: Backoff::default(),
             next_us: 0,
             missing_us: None,
         }
@@ -73,8 +67,8 @@
             return None;
         }
         self.pending = true;
-        self.next_us = now.after(self.next_limit);
-        Some(self.next_limit)
+        self.next_us = now.after(self.backoff.pause());
+        Some(self.backoff.pause())
     }
 }
 
@@ -102,7 +96,7 @@
             if dial.addr != record.addr {
                 // Where it listens now it has not been away.
                 dial.addr = record.addr;
-                dial.next_limit = FIRST_ATTEMPT;
+                dial.backoff = Backoff::default();
                 dial.next_us = now.mono_us;
             }
         }
@@ -126,7 +120,7 @@
     pub fn failed(&mut self, gate: &str) {
         if let Some(dial) = self.gates.get_mut(gate) {
             dial.pending = false;
-            dial.next_limit = dial.next_limit.mul_f64(GROWTH).min(LONGEST_ATTEMPT);
+            dial.backoff.grow();
         }
     }
 
@@ -135,7 +129,7 @@
     pub fn connected(&mut self, gate: &str, open: impl FnOnce() -> SessionId) -> Option<SessionId> {
         let dial = self.gates.get_mut(gate)?;
         dial.pending = false;
-        dial.next_limit = FIRST_ATTEMPT;
+        dial.backoff = Backoff::default();
         let session = open();
         dial.session = Some(session);
         Some(session)
--- a/src/ephemeral/entry/handle.rs
+++ b/src/ephemeral/entry/handle.rs
@@ -6,7 +6,7 @@
 
 use slog::Logger;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::Event;
 use crate::code::ResultCode;
@@ -17,6 +17,11 @@
 use crate::metrics::Metrics;
 use crate::time::{Timer, micros};
 
+/// Longest wait of a caller for the first configuration: it is there 15 ms after
+/// the start, and a refusal counts as late after a quarter of the sites' shortest
+/// objective (156 ms).
+const FIRST_TABLE: Duration = Duration::from_millis(35);
+
 /// A job on its way to the dispatcher.
 pub(super) struct Submit {
     pub waiter: WaiterId,
@@ -29,7 +34,6 @@
 /// What the HTTP side sees of the entry.
 #[derive(Debug, Default)]
 pub(super) struct View {
-    pub table: Arc<RouteTable>,
     pub gates: usize,
     pub jobs: usize,
     pub leaving: bool,
@@ -40,6 +44,7 @@
 pub struct EntryHandle {
     pub(super) events: UnboundedSender<Event>,
     pub(super) view: Arc<Mutex<View>>,
+    pub(super) table: watch::Receiver<Arc<RouteTable>>,
     pub(super) waiters: Arc<AtomicU64>,
     /// Timer service.
     pub timer: Timer,
@@ -72,12 +77,25 @@
 
     /// The configuration in force.
     pub fn table(&self) -> Arc<RouteTable> {
-        self.with_view(|view| view.table.clone())
+        self.table.borrow().clone()
+    }
+
+    /// The configuration in force; a caller that comes before the first one
+    /// waits for it, for at most [`FIRST_TABLE`].
+    pub async fn table_soon(&self) -> Arc<RouteTable> {
+        let mut table = self.table.clone();
+        let known = table.wait_for(|table| table.version > 0);
+        match self.timer.within(FIRST_TABLE, known).await {
+            Some(Ok(table)) => table.clone(),
+            // Too late, or the entry is gone.
+            _ => self.table(),
+        }
     }
 
     /// Whether callers should be sent here.
     pub fn ready(&self) -> bool {
-        self.with_view(|view| view.table.version > 0 && view.gates > 0 && !view.leaving)
+        let configured = self.table.borrow().version > 0;
+        configured && self.with_view(|view| view.gates > 0 && !view.leaving)
     }
 
     /// Whether the entry is stopping.
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -10,7 +10,7 @@
 use slog::{Logger, info, warn};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::ephemeral::directory::{self, GateRecord};
 use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
@@ -75,6 +75,7 @@
     dials: Dials,
     replies: HashMap<WaiterId, oneshot::Sender<Answer>>,
     view: Arc<Mutex<View>>,
+    table: watch::Sender<Arc<RouteTable>>,
     tx: UnboundedSender<Event>,
     rx: UnboundedReceiver<Event>,
     suspension: Suspension,
@@ -88,9 +89,11 @@
         let forward = tx.clone();
         let tell = move |event| forward.send(Event::Session(event)).is_ok();
         let view = Arc::new(Mutex::new(View::default()));
+        let (table, table_rx) = watch::channel(Arc::default());
         let handle = EntryHandle {
             events: tx.clone(),
             view: view.clone(),
+            table: table_rx,
             waiters: Arc::default(),
             timer: parts.timer.clone(),
             metrics: parts.metrics.clone(),
@@ -102,6 +105,7 @@
             dials: Dials::default(),
             replies: HashMap::new(),
             view,
+            table,
             tx,
             rx,
             suspension: Suspension::new(parts.timer.now()),
@@ -238,7 +242,7 @@
 
     /// Puts a configuration in force if it is newer.
     fn learn(&mut self, document: ConfigDocument, from: &'static str) {
-        let before = self.view().table.version;
+        let before = self.table.borrow().version;
         if document.version <= before {
             return;
         }
@@ -246,7 +250,7 @@
             Ok(table) => {
                 info!(self.parts.log, "configuration in force"; "version" => table.version,
                     "before" => before, "routes" => table.routes.len(), "from" => from);
-                self.view().table = Arc::new(table);
+                self.table.send_replace(Arc::new(table));
                 self.dispatcher.config_in_force(document);
             }
             Err(err) => {
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -12,10 +12,12 @@
 //! - [`gate`]: the decisions beside a worker; [`room`] counts its capacity.
 //! - [`message`], [`session`]: what entries and gates say, and how it travels;
 //!   [`suspension`]: what a process does that stood still.
-//! - [`directory`]: how processes find one another through the store.
+//! - [`directory`]: how processes find one another through the store;
+//!   [`backoff`]: how often what is away is tried.
 //! - [`entry`], [`agent`]: the loops around the decisions.
 
 pub mod agent;
+pub mod backoff;
 pub mod directory;
 pub mod dispatcher;
 pub mod entry;
--- /dev/null
+++ b/tests/ephemeral_directory.rs
@@ -0,0 +1,98 @@
+//! Following the store through silence and failing watches, in virtual time.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use tokio::sync::mpsc::unbounded_channel;
+use winghold::ephemeral::directory::follow;
+use winghold::logging;
+use winghold::store::{Store, StoreEntry, StoreError, StoreFuture, StoreReply, StoreRequest};
+use winghold::time::Timer;
+
+/// Answers reads but for the first `silent_reads`; watches fail or wait.
+struct FakeStore {
+    silent_reads: u32,
+    watches_fail: bool,
+    reads: AtomicU32,
+    watches: AtomicU32,
+}
+
+impl FakeStore {
+    fn new(silent_reads: u32, watches_fail: bool) -> Arc<FakeStore> {
+        Arc::new(FakeStore {
+            silent_reads,
+            watches_fail,
+            reads: AtomicU32::new(0),
+            watches: AtomicU32::new(0),
+        })
+    }
+
+    fn entry() -> StoreEntry {
+        StoreEntry {
+            key: "k".to_string(),
+            value: "v".into(),
+            revision: 1,
+        }
+    }
+}
+
+impl Store for FakeStore {
+    fn call(&self, req: StoreRequest) -> StoreFuture<'_> {
+        let silent = match req {
+            StoreRequest::Watch { .. } => {
+                self.watches.fetch_add(1, Ordering::Relaxed);
+                if self.watches_fail {
+                    return Box::pin(async { Err(StoreError::Unanswered) });
+                }
+                true
+            }
+            _ => self.reads.fetch_add(1, Ordering::Relaxed) < self.silent_reads,
+        };
+        Box::pin(async move {
+            if silent {
+                std::future::pending::<()>().await;
+            }
+            Ok(StoreReply::Entries {
+                revision: 1,
+                entries: vec![FakeStore::entry()],
+            })
+        })
+    }
+}
+
+/// Follows the store for `span`; returns how often entries were told.
+async fn told_within(store: Arc<FakeStore>, span: Duration) -> usize {
+    let (tx, mut rx) = unbounded_channel();
+    let log = logging::discard();
+    let tell = move |entries: Vec<StoreEntry>| tx.send(entries).is_ok();
+    let following = follow(store, Timer::coarse(), "k", "test", log, tell);
+    let _ = tokio::time::timeout(span, following).await;
+    let mut told = 0;
+    while rx.try_recv().is_ok() {
+        told += 1;
+    }
+    told
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_first_read_without_an_answer_holds_nothing_up() {
+    let store = FakeStore::new(1, false);
+    assert_eq!(told_within(store, Duration::from_millis(100)).await, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_stays_silent_gets_few_reads() {
+    let store = FakeStore::new(u32::MAX, false);
+    assert_eq!(told_within(store.clone(), Duration::from_secs(9)).await, 0);
+    let reads = store.reads.load(Ordering::Relaxed);
+    assert!((20..35).contains(&reads), "{reads} reads");
+}
+
+#[tokio::test(start_paused = true)]
+async fn watches_that_fail_at_once_are_not_repeated_at_once() {
+    let store = FakeStore::new(0, true);
+    told_within(store.clone(), Duration::from_secs(9)).await;
+    let watches = store.watches.load(Ordering::Relaxed);
+    assert!(watches < 35, "{watches} watches");
+}
