Serve urgent runs first at gates; let others wait out a rush

Change: urgent runs (the most urgent priority) go first at a gate, and the room that one waits for is left to it; loads tell what waits ahead of either kind. The others may be expected to wait 60% of their patience while congestion is new, 20% where it stands (dispatcher/congestion.rs).

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -11,7 +11,7 @@
 use super::job::Job;
 use super::{COME_BACK_MS, DispatchAction, Dispatcher, WaiterId, failed, refused, want};
 use crate::code::ResultCode;
-use crate::ephemeral::job::{JobId, JobSpec};
+use crate::ephemeral::job::{JobId, JobSpec, Urgency};
 use crate::ephemeral::placement::GateView;
 use crate::ephemeral::routes::Route;
 use crate::message::Answer;
@@ -27,9 +27,11 @@
 /// Part of a job's patience that the wait expected at admission may take, at the
 /// most urgent priority; the rest is for estimates that are off.
 const URGENT_ADMIT_SHARE: f64 = 0.85;
-/// The same at the other priorities: under overload they are refused first, and
-/// waits stay short for those that are taken.
-const ADMIT_SHARE: f64 = 0.15;
+/// The same at the other priorities while workers are full for a moment only.
+const ADMIT_SHARE: f64 = 0.6;
+/// The same where congestion stands: less urgent jobs are refused first, and waits
+/// stay short for those that are taken.
+const CONGESTED_ADMIT_SHARE: f64 = 0.2;
 /// Longest wait of a job for any gate: a quarter of the shortest objective of the
 /// sites, after which a refusal counts as late.
 const PARKED: Duration = Duration::from_millis(35);
@@ -45,6 +47,14 @@
     Answer(Answer),
 }
 
+/// Expected waits for room of the tasks of a job, in microseconds.
+struct Waits {
+    /// Of the task that is placed first.
+    first_us: u64,
+    /// Of the one that waits longest.
+    longest_us: u64,
+}
+
 impl Dispatcher {
     /// Whether a job can be served in time.
     fn admit(&mut self, now: Moment, job: &Job) -> Result<(), Denial> {
@@ -59,22 +69,32 @@
         if !self.gates.values().any(fitting) {
             return Err(Denial::Answer(self.fits_nowhere(now)));
         }
-        let Some(wait_us) = self.fits_whole(now, job) else {
+        let Some(waits) = self.waits_of(now, job) else {
             let answer = refused("no worker takes it now", COME_BACK_LATER_MS);
             return Err(Denial::Answer(answer));
         };
+        self.congestion.observe(now, waits.first_us);
         let patience_us = job.patience_us(now.mono_us) as f64;
-        let share = match job.route.priority {
-            0 => URGENT_ADMIT_SHARE,
-            _ => ADMIT_SHARE,
-        };
-        if wait_us as f64 > patience_us * share {
-            let text = format!("no room within {wait_us} us");
+        let most_us = patience_us * self.admit_share(job.route.urgency());
+        if waits.longest_us as f64 > most_us {
+            let text = format!(
+                "no room within {} us; it may wait {} us",
+                waits.longest_us, most_us as u64
+            );
             return Err(Denial::Answer(refused(&text, COME_BACK_MS)));
         }
         Ok(())
     }
 
+    /// Part of its patience that a job may be expected to wait for room.
+    fn admit_share(&self, urgency: Urgency) -> f64 {
+        let level = self.congestion.level();
+        match urgency {
+            Urgency::Urgent => URGENT_ADMIT_SHARE,
+            Urgency::Normal => ADMIT_SHARE + (CONGESTED_ADMIT_SHARE - ADMIT_SHARE) * level,
+        }
+    }
+
     /// The answer for a job that fits no worker that is known.
     fn fits_nowhere(&self, now: Moment) -> Answer {
         let since_us = self.served_since_us.unwrap_or(now.mono_us);
@@ -84,9 +104,9 @@
         }
     }
 
-    /// The longest wait that a task of the job would have if all were placed
-    /// now; none if some would find no gate.
-    fn fits_whole(&mut self, now: Moment, job: &Job) -> Option<u64> {
+    /// The waits that the tasks of the job would have if all were placed now; none
+    /// if some would find no gate.
+    fn waits_of(&mut self, now: Moment, job: &Job) -> Option<Waits> {
         let mut waits = Vec::new();
         for index in 0..job.spec.count {
             let choice = self.choose(now, job, index);
@@ -102,7 +122,10 @@
             gate.release_reserved();
         }
         let whole = waits.len() == job.spec.count as usize;
-        whole.then(|| waits.into_iter().max().unwrap_or(0))
+        whole.then(|| Waits {
+            first_us: waits.first().copied().unwrap_or(0),
+            longest_us: waits.into_iter().max().unwrap_or(0),
+        })
     }
 
     fn expected_us(&self, spec: &JobSpec, route: &Route) -> u64 {
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -8,6 +8,7 @@
 //! otherwise. Whatever of it is still out is stopped then.
 
 mod admission;
+mod congestion;
 mod gates;
 mod job;
 mod progress;
@@ -27,6 +28,7 @@
 use crate::message::Answer;
 use crate::run_times::RunTimes;
 use crate::time::{Moment, micros};
+use congestion::Congestion;
 use job::{Job, TaskState};
 
 /// How long answers are kept for callers that ask again.
@@ -96,6 +98,7 @@
     past: HashMap<JobId, Past>,
     past_order: VecDeque<(u64, JobId)>,
     probes: HashMap<Arc<str>, u64>,
+    congestion: Congestion,
     placer: Placer,
     run_times: RunTimes,
     config: Option<ConfigDocument>,
@@ -120,6 +123,7 @@
             past: HashMap::new(),
             past_order: VecDeque::new(),
             probes: HashMap::new(),
+            congestion: Congestion::default(),
             run_times: RunTimes::default(),
             config: None,
             actions: Vec::new(),
@@ -222,6 +226,7 @@
             payload: job.spec.payload.clone(),
             needs: job.spec.needs,
             patience_us: wait_at_gate_us(&choice, bounces).min(patience_us),
+            urgency: job.route.urgency(),
             due_us: job.latest_begin_us().saturating_sub(now.mono_us),
             expected_us: job.expected_us,
             movable,
@@ -408,6 +413,7 @@
         service: &job.route.service,
         needs: &job.spec.needs,
         constraints: &job.spec.constraints,
+        urgency: job.route.urgency(),
         expected_us: job.expected_us,
         left_us: job.deadline_us.saturating_sub(now.mono_us),
     }
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -24,7 +24,7 @@
 
 use slog::{Logger, debug};
 
-use crate::ephemeral::job::{Resources, RunId};
+use crate::ephemeral::job::{Resources, RunId, Urgency};
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{
     ConfigDocument, GateLoad, NotRunReason, ProcessId, RunEnd, ToEntry,
@@ -37,6 +37,7 @@
 use health::Health;
 use life::Life;
 use pace::Mark;
+use queue::Place;
 use sessions::Owner;
 
 /// How long ends are kept for entries that reconnect.
@@ -80,8 +81,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunState {
-    /// Waits for room until `until_us`; should begin by `due_us`.
-    Queued { due_us: u64, until_us: u64 },
+    /// Waits for room until `until_us`.
+    Queued { place: Place, until_us: u64 },
     /// Claimed by its entry before the worker's lists came.
     Claimed {
         /// Whether an earlier life of the gate may have begun it.
@@ -144,7 +145,7 @@
     owners: BTreeMap<ProcessId, Owner>,
     sessions: HashMap<SessionId, ProcessId>,
     runs: BTreeMap<RunId, Run>,
-    queue: BTreeSet<(u64, RunId)>,
+    queue: BTreeSet<Place>,
     past: HashMap<RunId, PastRun>,
     past_order: VecDeque<(u64, RunId)>,
     /// Runs of an earlier gate on this worker that no entry has claimed.
@@ -268,8 +269,8 @@
         let Some(record) = self.runs.remove(&run) else {
             return;
         };
-        if let RunState::Queued { due_us, .. } = record.state {
-            self.queue.remove(&(due_us, run));
+        if let RunState::Queued { place, .. } = record.state {
+            self.queue.remove(&place);
         }
         self.room.give_back(run);
         let run_us = match end {
@@ -342,7 +343,6 @@
     }
 
     fn load(&self, now: Moment, seen: u64) -> GateLoad {
-        let queued = self.queue.iter().map(|(_, run)| self.runs[run].needs);
         let usable = self.closed(now).is_none()
             && self.unclaimed.is_empty()
             && self.life.as_ref().is_some_and(Life::ready);
@@ -352,8 +352,8 @@
                 true => self.room.free(),
                 false => Resources::default(),
             },
-            queued_cpu_milli: queued.map(|needs| needs.cpu_milli).sum(),
-            wait_us: self.wait_us(now),
+            urgent_queue: self.queue_ahead(now, Urgency::Urgent),
+            queue: self.queue_ahead(now, Urgency::Normal),
             mean_run_us: self.health.mean_run_us(),
             slowness_percent: self.health.slowness_percent(),
             suspect: self.health.suspect(),
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -4,14 +4,23 @@
 
 use super::life::Life;
 use super::{Gate, GateAction, Mark, PastRun, Run, RunState};
-use crate::ephemeral::job::RunId;
-use crate::ephemeral::message::{NotRunReason, ProcessId, RunEnd, StartOrder, ToEntry};
+use crate::ephemeral::job::{RunId, Urgency};
+use crate::ephemeral::message::{NotRunReason, ProcessId, QueueLoad, RunEnd, StartOrder, ToEntry};
 use crate::ephemeral::worker::StartCall;
 use crate::time::Moment;
 
 /// Part of its time so far that an overdue run is expected to take on.
 const OVERDUE_SHARE: u64 = 4;
 
+/// A run's place in the queue: urgent ones first, then by the latest begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Place {
+    pub urgency: Urgency,
+    /// When it should begin, in monotonic microseconds.
+    pub due_us: u64,
+    pub run: RunId,
+}
+
 impl Gate {
     pub(super) fn admit(&mut self, now: Moment, owner: ProcessId, order: StartOrder) {
         let run = order.run;
@@ -34,7 +43,11 @@
             );
             return;
         }
-        let due_us = now.mono_us + order.due_us;
+        let place = Place {
+            urgency: order.urgency,
+            due_us: now.mono_us + order.due_us,
+            run,
+        };
         let until_us = now.mono_us + order.patience_us;
         let record = Run {
             owner,
@@ -43,7 +56,7 @@
             expected_us: order.expected_us,
             movable: order.movable,
             since_us: now.mono_us,
-            state: RunState::Queued { due_us, until_us },
+            state: RunState::Queued { place, until_us },
             mark: None,
         };
         self.runs.insert(run, record);
@@ -51,7 +64,7 @@
             self.end(now, run, RunEnd::NotRun(reason));
             return;
         }
-        self.queue.insert((due_us, run));
+        self.queue.insert(place);
         self.load_changed = true;
         if order.patience_us == 0 {
             self.fill(now);
@@ -74,21 +87,27 @@
         self.past.get(&run).filter(|past| past.owner == *owner)
     }
 
-    /// Begins what fits, in the order of the latest begin.
+    /// Begins what fits, in the order of the queue. Less urgent runs do not take
+    /// the room that an urgent one waits for: it would never become large enough.
     pub(super) fn fill(&mut self, now: Moment) {
         let open = self.closed(now).is_none() && self.unclaimed.is_empty();
         if !open || !self.life.as_ref().is_some_and(Life::ready) {
             return;
         }
-        let waiting: Vec<(u64, RunId)> = self.queue.iter().copied().collect();
-        for (due_us, run) in waiting {
+        let waiting: Vec<Place> = self.queue.iter().copied().collect();
+        let mut urgent_waits = false;
+        for place in waiting {
+            if urgent_waits && place.urgency > Urgency::Urgent {
+                break;
+            }
             let busy = self.health.suspect() && self.runs.values().any(Run::is_out);
-            let needs = self.runs[&run].needs;
-            if busy || !self.room.take(run, needs) {
+            let needs = self.runs[&place.run].needs;
+            if busy || !self.room.take(place.run, needs) {
+                urgent_waits |= place.urgency == Urgency::Urgent;
                 continue;
             }
-            self.queue.remove(&(due_us, run));
-            self.order(now, run);
+            self.queue.remove(&place);
+            self.order(now, place.run);
         }
     }
 
@@ -119,7 +138,7 @@
             let state = self.runs.get(run).map(|record| record.state);
             matches!(state, Some(RunState::Queued { until_us, .. }) if until_us <= now.mono_us)
         };
-        let waiting = self.queue.iter().map(|(_, run)| *run);
+        let waiting = self.queue.iter().map(|place| place.run);
         let late: Vec<RunId> = waiting.filter(late).collect();
         for run in late {
             self.end(now, run, RunEnd::NotRun(NotRunReason::NoRoom));
@@ -127,20 +146,30 @@
     }
 
     pub(super) fn refuse_queued(&mut self, now: Moment, reason: NotRunReason) {
-        let waiting: Vec<RunId> = self.queue.iter().map(|(_, run)| *run).collect();
+        let waiting: Vec<RunId> = self.queue.iter().map(|place| place.run).collect();
         for run in waiting {
             self.end(now, run, RunEnd::NotRun(reason));
         }
     }
 
+    /// What waits ahead of a new run of this urgency.
+    pub(super) fn queue_ahead(&self, now: Moment, urgency: Urgency) -> QueueLoad {
+        let ahead = self.queue.iter().filter(|place| place.urgency <= urgency);
+        let needs = ahead.map(|place| self.runs[&place.run].needs.cpu_milli);
+        let cpu_milli = needs.sum();
+        QueueLoad {
+            cpu_milli,
+            wait_us: self.wait_us(now, cpu_milli),
+        }
+    }
+
     /// Time until a run of the usual size would find room: when enough of the
-    /// present runs should have ended for all that waits and one more.
-    pub(super) fn wait_us(&self, now: Moment) -> u64 {
+    /// present runs should have ended for the `queued` processor time and one more.
+    fn wait_us(&self, now: Moment, queued: u64) -> u64 {
         let cpu = |run: &Run| run.needs.cpu_milli;
         let out = self.runs.values().filter(|run| run.is_out());
         let mut ends: Vec<(u64, u64)> = out.map(|run| (self.left_us(now, run), cpu(run))).collect();
         let usual = ends.iter().map(|(_, cpu)| cpu).sum::<u64>() / ends.len().max(1) as u64;
-        let queued: u64 = self.queue.iter().map(|(_, run)| cpu(&self.runs[run])).sum();
         let wanted = queued + usual;
         let mut free = self.room.free().cpu_milli;
         if free >= wanted {
--- a/src/ephemeral/job.rs
+++ b/src/ephemeral/job.rs
@@ -92,6 +92,15 @@
     }
 }
 
+/// Who is served first where room is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Urgency {
+    /// Before all others.
+    Urgent,
+    /// In the order of the latest begin.
+    Normal,
+}
+
 /// Where the tasks of a job may run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Constraints {
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::ephemeral::job::{Resources, RunId};
+use crate::ephemeral::job::{Resources, RunId, Urgency};
 
 /// One life of a process.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -88,8 +88,10 @@
     /// Longest wait for room, in microseconds; refused afterwards, and at once
     /// if it is 0.
     pub patience_us: u64,
+    /// Who is served first; orders the queue.
+    pub urgency: Urgency,
     /// Time until it should begin for its objective, in microseconds; orders the
-    /// queue.
+    /// queue among runs of the same urgency.
     pub due_us: u64,
     /// Run time that the entry expects on a worker of usual speed, in microseconds.
     pub expected_us: u64,
@@ -191,10 +193,10 @@
     pub worker: Option<Arc<WorkerTraits>>,
     /// Room that nobody holds.
     pub free: Resources,
-    /// Processor time wanted by runs that wait, in thousandths of a core.
-    pub queued_cpu_milli: u64,
-    /// Time until the next run of usual size finds room, in microseconds.
-    pub wait_us: u64,
+    /// What waits ahead of a new urgent run.
+    pub urgent_queue: QueueLoad,
+    /// What waits ahead of any other new run.
+    pub queue: QueueLoad,
     /// Mean run time of recent runs, in microseconds; 0 if unknown.
     pub mean_run_us: u64,
     /// Run times against what entries expected, in percent.
@@ -207,6 +209,25 @@
     pub seen: u64,
 }
 
+impl GateLoad {
+    /// What waits ahead of a new run.
+    pub fn queue_ahead(&self, urgency: Urgency) -> &QueueLoad {
+        match urgency {
+            Urgency::Urgent => &self.urgent_queue,
+            Urgency::Normal => &self.queue,
+        }
+    }
+}
+
+/// What waits for room at a gate.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueLoad {
+    /// Processor time wanted by runs that wait, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Time until the next run of usual size finds room, in microseconds.
+    pub wait_us: u64,
+}
+
 /// What a worker is, for placement.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerTraits {
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -11,8 +11,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::ephemeral::job::{Constraints, Resources, RunId};
-use crate::ephemeral::message::{GateLoad, WorkerTraits};
+use crate::ephemeral::job::{Constraints, Resources, RunId, Urgency};
+use crate::ephemeral::message::{GateLoad, QueueLoad, WorkerTraits};
 use crate::ephemeral::session::SessionId;
 
 /// Mean run time of a gate that has none yet, in microseconds: the sites' mean.
@@ -104,7 +104,9 @@
     /// The gate turned a run away for want of room, against its last load.
     pub fn had_no_room(&mut self) {
         self.load.free = Resources::default();
-        self.load.wait_us = self.load.wait_us.max(FULL_WAIT_US);
+        for queue in [&mut self.load.urgent_queue, &mut self.load.queue] {
+            queue.wait_us = queue.wait_us.max(FULL_WAIT_US);
+        }
     }
 
     /// Whether the gate takes work now.
@@ -117,8 +119,8 @@
     }
 
     /// Processor time wanted beyond what is free, with `needs` added.
-    fn missing_cpu(&self, needs: &Resources) -> f64 {
-        let wanted = needs.cpu_milli + self.load.queued_cpu_milli + self.unseen_cpu();
+    fn missing_cpu(&self, needs: &Resources, queue: &QueueLoad) -> f64 {
+        let wanted = needs.cpu_milli + queue.cpu_milli + self.unseen_cpu();
         wanted as f64 - self.load.free.cpu_milli as f64
     }
 
@@ -127,12 +129,13 @@
         sent.sum::<u64>() + self.reserved_cpu_milli
     }
 
-    fn wait_us(&self, needs: &Resources, capacity: &Resources) -> f64 {
-        let missing = self.missing_cpu(needs);
+    fn wait_us(&self, want: &Want<'_>, capacity: &Resources) -> f64 {
+        let queue = self.load.queue_ahead(want.urgency);
+        let missing = self.missing_cpu(want.needs, queue);
         if missing <= 0.0 {
             return 0.0;
         }
-        let first_us = self.load.wait_us as f64;
+        let first_us = queue.wait_us as f64;
         let unseen = self.unseen_cpu() as f64;
         let mean_us = match self.load.mean_run_us {
             0 => UNKNOWN_MEAN_US,
@@ -155,6 +158,8 @@
     pub needs: &'a Resources,
     /// Where it may run.
     pub constraints: &'a Constraints,
+    /// Who is served first.
+    pub urgency: Urgency,
     /// Run time on a worker of usual speed, in microseconds.
     pub expected_us: u64,
     /// Time left until the deadline, in microseconds.
@@ -211,7 +216,7 @@
             };
             let far = self.far_from_data(want, worker);
             let run_us = want.expected_us as f64 * gate.slowness() * far;
-            let wait_us = gate.wait_us(want.needs, &worker.capacity);
+            let wait_us = gate.wait_us(want, &worker.capacity);
             let risk = run_us / want.left_us.max(1) as f64;
             let free = gate.load.free.cpu_milli.saturating_sub(gate.unseen_cpu()) as f64;
             let used = 1.0 - free / worker.capacity.cpu_milli.max(1) as f64;
--- a/src/ephemeral/routes.rs
+++ b/src/ephemeral/routes.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use crate::ephemeral::job::Urgency;
+
 /// Terms of one kind of job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -25,6 +27,17 @@
     pub slack_us: u64,
 }
 
+impl Route {
+    /// Who is served first: the most urgent priority goes before all others,
+    /// which share what is left by their objectives.
+    pub fn urgency(&self) -> Urgency {
+        match self.priority {
+            0 => Urgency::Urgent,
+            _ => Urgency::Normal,
+        }
+    }
+}
+
 /// What callers may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
