--- /dev/null
+++ b/bench/pairs.py
@@ -0,0 +1,108 @@
+#!/usr/bin/env python3
+"""Writes a day for each pair of troubles, to be played on the users' bench.
+
+    bench/pairs.py SITE DIR [FIRST [COUNT]]
+
+SITE is a site file; its traffic is taken over. Each day holds both troubles
+twice, overlapping, in either order, and ends with all processes killed. FIRST
+and COUNT choose a part of the pairs, which stand in a fixed, shuffled order.
+"""
+
+import itertools
+import pathlib
+import random
+import sys
+import tomllib
+
+# Troubles that the bench's `kinds` lists for best-effort jobs, and one hard form
+# of each; `plan` holds planned work.
+TROUBLES = {
+    "burst": 'kind = "burst", x = 1.5, for_s = 4.0',
+    "give-up": 'kind = "give_up", share = 0.4, for_s = 5.0',
+    "workers-crash": 'kind = "srv_crash", share = 0.25, for_s = 3.0',
+    "workers-crash-dark": 'kind = "srv_crash", share = 0.25, for_s = 3.0, how = "dark gone"',
+    "workers-slow": 'kind = "srv_slow", share = 0.25, x = 6.0, for_s = 5.0',
+    "workers-fail": 'kind = "srv_grey", share = 0.2, x = 1.0, for_s = 5.0, how = "errors"',
+    "workers-hang": 'kind = "srv_grey", share = 0.2, x = 1.0, for_s = 5.0, how = "hang"',
+    "workers-mute": 'kind = "srv_grey", share = 0.2, x = 1.0, for_s = 5.0, how = "mute"',
+    "workers-cut": 'kind = "srv_cut", share = 0.25, for_s = 4.0, how = "one_way"',
+    "orders-late": 'kind = "applied_late", x = 0.2, for_s = 6.0, how = "all"',
+    "agents-killed": 'kind = "node_kill", on = "side", share = 0.3, how = "hard"',
+    "agents-frozen": 'kind = "node_freeze", on = "side", share = 0.3, for_s = 1.5',
+    "agents-cut": 'kind = "node_cut", on = "side", share = 0.3, for_s = 1.5, how = "all"',
+    "entries-killed": 'kind = "node_kill", on = "front", count = 2, how = "power", for_s = 2.0',
+    "entries-frozen": 'kind = "node_freeze", on = "front", count = 1, for_s = 2.0, how = "meet"',
+    "entries-cut": 'kind = "node_cut", on = "front", count = 1, for_s = 3.0, how = "all meet"',
+    "slow-machines": 'kind = "node_slow", share = 0.3, x = 5.0, for_s = 4.0',
+    "clocks": 'kind = "clock_step", share = 0.4, x = 3000, for_s = 4.0, how = "back"',
+    "links-lossy": 'kind = "lossy", x = 0.06, for_s = 5.0',
+    "resets": 'kind = "reset_conns", share = 0.5, x = 0.8',
+    "store-silent": 'kind = "platform_down", for_s = 5.0, how = "silent lapse"',
+    "store-picks": 'kind = "platform_down", for_s = 6.0, share = 0.4, how = "nodes many revoke meet"',
+    "store-slow": 'kind = "platform_slow", x = 60.0, for_s = 5.0',
+    "store-loses": 'kind = "platform_lost", x = 0.5, for_s = 5.0, how = "late"',
+    "store-forgets": 'kind = "platform_compact", x = 4.0, for_s = 5.0, how = "drain"',
+    "entry-replaced": 'kind = "replace_core", x = 2.0, how = "leader"',
+}
+PLANS = {
+    "entries-rolled": 'kind = "roll_term", share = 1.0, gap_s = 1.5, how = "busy"',
+    "agents-rolled": 'kind = "roll_term", on = "side", share = 0.4, gap_s = 1.0',
+    "release": 'kind = "release", share = 0.5, gap_s = 1.0',
+    "scale-in": 'kind = "scale_in", share = 0.12',
+    "config": 'kind = "config_change", how = "timeout"',
+    "reload": 'kind = "hup", share = 0.6, gap_s = 2.0',
+}
+# Seconds from the start of traffic at which the troubles begin.
+FIRST_AT, FIRST_OVERLAP = 4.0, 5.2
+SECOND_AT, SECOND_OVERLAP = 16.0, 16.8
+
+
+def entries(table, times):
+    rows = [f"  {{ at = {at}, {table[name]} }}," for name, at in times if name in table]
+    return "\n".join(rows)
+
+
+def day(name, pair, traffic, seed):
+    a, b = pair
+    times = [(a, FIRST_AT), (b, FIRST_OVERLAP), (b, SECOND_AT), (a, SECOND_OVERLAP)]
+    return "\n".join(
+        [
+            "[[day]]",
+            f'name = "{name}"',
+            'slot = "trouble"',
+            f"seed = {seed}",
+            "one = 0.8",
+            "zero = 0.4",
+            'closing = { kind = "kill_all", down_s = 0.8 }',
+            f"plan = [\n{entries(PLANS, times)}\n]",
+            f"faults = [\n{entries(TROUBLES, times)}\n]",
+            f"traffic = {traffic}",
+            "",
+        ]
+    )
+
+
+def toml(value):
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {toml(item)}" for key, item in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(toml(item) for item in value) + "]"
+    return f'"{value}"' if isinstance(value, str) else str(value)
+
+
+def main():
+    site, out = pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2])
+    first, count = (list(map(int, sys.argv[3:])) + [0, 10_000])[:2] if sys.argv[3:] else (0, 10_000)
+    described = tomllib.loads(site.read_text())
+    troubled = next(day for day in described["day"] if day["slot"] == "trouble")
+    traffic = toml(troubled["traffic"])
+    pairs = list(itertools.combinations([*TROUBLES, *PLANS], 2))
+    random.Random(1).shuffle(pairs)
+    out.mkdir(parents=True, exist_ok=True)
+    for number, pair in enumerate(pairs[first : first + count], first):
+        name = f"{number:03}-{pair[0]}-{pair[1]}"
+        (out / f"{name}.toml").write_text(day(name, pair, traffic, 4711 + number))
+
+
+if __name__ == "__main__":
+    main()
