Name the latest begin by its name in the log; say the congestion of a refusal

Cause: reading the diff: `objective_us` of "job over" is the time within which a task must begin, not the objective; a refusal named its limit, but not the congestion that had set it. The key is `begin_within_us` now. Ruled out, before/after: no decision changes.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -78,8 +78,10 @@
         let most_us = patience_us * self.admit_share(job);
         if waits.longest_us as f64 > most_us {
             let text = format!(
-                "no room within {} us; it may wait {} us",
-                waits.longest_us, most_us as u64
+                "no room within {} us; it may wait {} us at congestion {:.2}",
+                waits.longest_us,
+                most_us as u64,
+                self.congestion.level()
             );
             return Err(Denial::Answer(refused(&text, COME_BACK_MS)));
         }
--- a/src/ephemeral/dispatcher/congestion.rs
+++ b/src/ephemeral/dispatcher/congestion.rs
@@ -12,10 +12,9 @@
 /// Time over which waits are looked back on: the sites' mean run time, in which
 /// a rush either ends or has filled the queues.
 const LOOK_BACK: Duration = Duration::from_millis(200);
-/// Wait, in microseconds, from which congestion counts as standing: some tasks
-/// of the sites' mean run time must end on each worker before the next begins.
+/// Wait, in microseconds, from which congestion stands in full: a worker of ten
+/// tasks of the sites' mean run time then has two that wait.
 const STANDING_US: f64 = 40_000.0;
-
 /// Most of the look-back that one job stands for.
 const MOST_WEIGHT: f64 = 0.25;
 
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -388,7 +388,7 @@
             "sent_before" => job.sent_before,
             "expected_us" => job.expected_us, "tasks" => job.spec.count,
             "runs" => job.tasks.iter().map(|task| task.runs).max(),
-            "objective_us" => job.latest_begin_us().saturating_sub(job.arrived_us));
+            "begin_within_us" => job.latest_begin_us().saturating_sub(job.arrived_us));
     }
 
     fn forget_past(&mut self, now: Moment) {
