--- a/tests/ephemeral_directory.rs
+++ b/tests/ephemeral_directory.rs
@@ -1,7 +1,7 @@
 //! Following the store through silence and failing watches, in virtual time.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::sync::mpsc::unbounded_channel;
@@ -16,6 +16,8 @@
     watches_fail: bool,
     reads: AtomicU32,
     watches: AtomicU32,
+    /// Longest wait that a watch asked for, in milliseconds.
+    longest_wait_ms: AtomicU64,
 }
 
 impl FakeStore {
@@ -25,6 +27,7 @@
             watches_fail,
             reads: AtomicU32::new(0),
             watches: AtomicU32::new(0),
+            longest_wait_ms: AtomicU64::new(0),
         })
     }
 
@@ -40,7 +43,8 @@
 impl Store for FakeStore {
     fn call(&self, req: StoreRequest) -> StoreFuture<'_> {
         let silent = match req {
-            StoreRequest::Watch { .. } => {
+            StoreRequest::Watch { wait_ms, .. } => {
+                self.longest_wait_ms.fetch_max(wait_ms, Ordering::Relaxed);
                 self.watches.fetch_add(1, Ordering::Relaxed);
                 if self.watches_fail {
                     return Box::pin(async { Err(StoreError::Unanswered) });
@@ -96,3 +100,13 @@
     let watches = store.watches.load(Ordering::Relaxed);
     assert!(watches < 35, "{watches} watches");
 }
+
+/// A watch that a silent store never answers must be over before a change that is
+/// made after the outage has to be in force: 3 s in touch and 2 s for the change.
+#[tokio::test(start_paused = true)]
+async fn a_watch_does_not_outlast_an_outage_by_much() {
+    let store = FakeStore::new(0, false);
+    told_within(store.clone(), Duration::from_secs(1)).await;
+    let wait_ms = store.longest_wait_ms.load(Ordering::Relaxed);
+    assert!((1..=4_000).contains(&wait_ms), "{wait_ms} ms");
+}
