--- a/bench/pairs.py
+++ b/bench/pairs.py
@@ -92,14 +92,15 @@
 
 def main():
     site, out = pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2])
-    first, count = (list(map(int, sys.argv[3:])) + [0, 10_000])[:2] if sys.argv[3:] else (0, 10_000)
+    first = int(sys.argv[3]) if len(sys.argv) > 3 else 0
+    last = first + int(sys.argv[4]) if len(sys.argv) > 4 else None
     described = tomllib.loads(site.read_text())
     troubled = next(day for day in described["day"] if day["slot"] == "trouble")
     traffic = toml(troubled["traffic"])
     pairs = list(itertools.combinations([*TROUBLES, *PLANS], 2))
     random.Random(1).shuffle(pairs)
     out.mkdir(parents=True, exist_ok=True)
-    for number, pair in enumerate(pairs[first : first + count], first):
+    for number, pair in enumerate(pairs[first:last], first):
         name = f"{number:03}-{pair[0]}-{pair[1]}"
         (out / f"{name}.toml").write_text(day(name, pair, traffic, 4711 + number))
 
--- a/src/ephemeral/dispatcher/caller_waits.rs
+++ b/src/ephemeral/dispatcher/caller_waits.rs
@@ -2,8 +2,8 @@
 //!
 //! A caller that sends a job again has less time left than callers of its route
 //! usually have, and the objective of its job is past. Where room is short, jobs
-//! that can still meet theirs go first: after a restart half of all jobs come for
-//! the second time.
+//! that can still meet theirs go first: after a restart up to half of all jobs come
+//! for the second time.
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/tests/ephemeral_admission.rs
+++ b/tests/ephemeral_admission.rs
@@ -179,3 +179,18 @@
     assert_eq!(bench.starts.len(), 2);
     assert_eq!(bench.codes(), [ResultCode::Overloaded; 5]);
 }
+
+#[test]
+fn callers_that_wait_less_for_good_are_taken_for_new_again() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, job(1, 1), 1);
+    for id in 2..=140 {
+        bench.load(1, full(60 * MS));
+        bench.submit_for(700, id, job(id, 1), 1);
+        bench.pass(20);
+    }
+    let begun = bench.starts.len();
+    bench.load(1, full(10 * MS));
+    bench.submit_for(700, 141, job(141, 1), 1);
+    assert_eq!(bench.starts.len(), begun + 1);
+}
