Take a session to a second connection when the first goes dead; let the worker tell which of its lives is past

Cause, connections: a connection may go silent for good without a reset while new ones work. The session noticed only after the silence limit, when every job on it is answered 502 ("a worker's gate is gone"), although the gate lived. Now: a gate that sent nothing for 1.25 heartbeats, or that has not told to have seen a start for eight times its usual answer time, is in doubt. Nothing is placed there, and a second connection is opened beside the first. The session goes over to it: runs go on, starts that the gate never had are answered as lost and placed again. Ruled out: shorter silence (the sum that keeps runs apart allows it, but a frozen gate would lose its jobs sooner); more frequent heartbeats (frames on every session for a rare fault; a start that is not seen tells sooner).

Cause, lives: the gate followed any report of another life, also one that was held up on its way and told of a life that had crashed before the present one began: all runs of the present life counted as stopped, and their room was given again. The same with the record in the store, which any report overwrote. Now a report of another life waits as the successor: while the present life answers what was asked after it, the report is past; when the worker says that the life is not there, the successor is followed at once; a mute life gives way once no lease can be in force. A life that answered as past or said goodbye is not believed again, and only the life that is followed is published. The test what_ran_on_an_earlier_life_of_the_worker_is_over asked for the fault itself (a report alone ends the runs); it now asks that the report alone changes nothing and that the worker's answer ends them, as strict; five tests are new.

The wait of a watch shrinks from 2.5 s to 1.5 s: with the call's limit it took up to 3.1 s after the store's return until the configuration was read anew, where 3 s are allowed (the two spans do not add up).

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -171,7 +171,7 @@
                 self.gate.heard(now, session);
             }
             Event::Session(SessionEvent::Closed(session)) => self.lose(session),
-            Event::Report(report) => self.report(now, *report),
+            Event::Report(report) => self.gate.worker_report(now, *report),
             Event::Recalled(worker) => self.gate.recall_worker(now, &worker),
             Event::Left(id) => self.gate.worker_left(now, &id),
             Event::Started(run, answer) => self.gate.start_answered(now, run, answer),
@@ -185,19 +185,13 @@
         }
     }
 
-    fn report(&mut self, now: Moment, report: WorkerReport) {
-        let record = WorkerRecord {
-            traits: report.traits(),
-            addr: report.addr.clone(),
-        };
-        if !report.leaving {
-            self.parts.published.send_if_modified(|published| {
-                let changed = published.as_ref() != Some(&record);
-                *published = Some(record);
-                changed
-            });
-        }
-        self.gate.worker_report(now, report);
+    fn aim(&self, worker: WorkerRecord) {
+        self.parts.worker.aim(&worker.addr);
+        self.parts.published.send_if_modified(|published| {
+            let changed = published.as_ref() != Some(&worker);
+            *published = Some(worker);
+            changed
+        });
     }
 
     fn lose(&mut self, session: SessionId) {
@@ -230,7 +224,7 @@
                 self.sessions.send(session, message);
             }
             GateAction::Close(session) => self.lose(session),
-            GateAction::Aim(addr) => self.parts.worker.aim(&addr),
+            GateAction::Aim(worker) => self.aim(worker),
             GateAction::Start(call) => {
                 let run = call.run;
                 let answer = self.parts.worker.start(call);
--- a/src/ephemeral/directory.rs
+++ b/src/ephemeral/directory.rs
@@ -29,10 +29,11 @@
 /// Pause between two renewals, each with a look at the record; a record that
 /// lapsed is back within it.
 const RENEWAL: Duration = Duration::from_millis(1_500);
-/// Wait of a watch for a change: a store that falls silent may leave it without an
-/// answer, and changes made after its return are in force everywhere within 5 s
-/// (the platform's `contact_ms` and `config_ms`).
-const WATCH: Duration = Duration::from_millis(2_500);
+/// Wait of a watch for a change. A store that falls silent may leave it without an
+/// answer; with the time limit of the call it is begun anew 2.1 s after the store's
+/// return at the latest, because 3 s after it the configuration in force must be
+/// the newest one (the platform's `contact_ms`; `config_ms` does not add to it).
+const WATCH: Duration = Duration::from_millis(1_500);
 /// Pause after a record could not be kept; eleven gates then make less than
 /// sixty calls a second in an outage.
 const PAUSE: Duration = Duration::from_millis(200);
--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -19,6 +19,10 @@
 /// Pause between two runs that try out a suspect worker.
 pub(super) const PROBE_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time between two turns of the loop, which are 10 ms apart, after which this
+/// process may have left frames unread.
+const LONGEST_TURN: Duration = Duration::from_millis(30);
+
 impl Dispatcher {
     /// A connection to the gate `name` is open: the message that begins the
     /// session.
@@ -26,12 +30,10 @@
         let open = self.open_runs(name);
         let gate = self.gates.entry(name.clone());
         let gate = gate.or_insert_with(|| GateView::new(now.mono_us));
-        gate.begin_session();
+        gate.begin_session(now);
         gate.claimed = open.iter().map(|claimed| claimed.run).collect();
-        if let Some(before) = gate.session.take() {
-            self.sessions.remove(&before);
-            self.actions.push(DispatchAction::Close(before));
-        }
+        gate.session = None;
+        self.close_sessions(name);
         info!(self.log, "gate connected"; "gate" => &**name, "open_runs" => open.len());
         self.sessions.insert(session, name.clone());
         let message = ToGate::Hello {
@@ -42,6 +44,13 @@
         self.actions.push(DispatchAction::Send { session, message });
     }
 
+    /// Closes all sessions with a gate, answered or not.
+    fn close_sessions(&mut self, name: &Arc<str>) {
+        let of_gate = self.sessions.extract_if(|_, of| of == name);
+        let closes = of_gate.map(|(session, _)| DispatchAction::Close(session));
+        self.actions.extend(closes);
+    }
+
     fn open_runs(&self, name: &Arc<str>) -> Vec<OpenRun> {
         let sent_to = self.gates.get(name).map_or(0, |gate| gate.incarnation);
         let mut open = Vec::new();
@@ -87,7 +96,7 @@
             ToEntry::Hello { gate, config } => self.hello(&name, session, &gate, config),
             ToEntry::Load(load) => {
                 if let Some(gate) = self.gates.get_mut(&name) {
-                    gate.observe(load);
+                    gate.observe(now, load);
                 }
                 self.note_service(now);
                 self.dirty |= !self.backlog.is_empty();
@@ -181,6 +190,37 @@
         }
     }
 
+    /// Asks for a second connection to gates that should have been heard by now.
+    ///
+    /// A dead connection then costs the jobs on it some delay, and no answer: the
+    /// session goes over to the new connection, runs go on, and starts that never
+    /// came are placed again.
+    pub(super) fn doubt_quiet_gates(&mut self, now: Moment) {
+        self.note_turn(now);
+        let (quiet, listening_us) = (self.limits.quiet, self.listening_us);
+        for (name, gate) in &mut self.gates {
+            let before = gate.quiet;
+            gate.quiet = gate.is_overdue(now, quiet, listening_us);
+            if !gate.quiet {
+                continue;
+            }
+            if !before {
+                info!(self.log, "gate is quiet"; "gate" => &**name,
+                    "silent_us" => now.mono_us.saturating_sub(gate.heard_us));
+            }
+            self.actions.push(DispatchAction::Redial(name.clone()));
+        }
+    }
+
+    /// A process that stood still has not read what came meanwhile, and must not
+    /// take that for the silence of others.
+    fn note_turn(&mut self, now: Moment) {
+        if now.mono_us > self.turned_us + micros(LONGEST_TURN) {
+            self.listening_us = now.mono_us;
+        }
+        self.turned_us = now.mono_us;
+    }
+
     fn drop_gate(&mut self, now: Moment, name: &Arc<str>) {
         let Some(gate) = self.gates.remove(name) else {
             return;
@@ -188,16 +228,7 @@
         info!(self.log, "gate given up"; "gate" => &**name,
             "silent_us" => now.mono_us.saturating_sub(gate.heard_us));
         self.note_service(now);
-        let sessions: Vec<SessionId> = self
-            .sessions
-            .iter()
-            .filter(|(_, of)| *of == name)
-            .map(|(session, _)| *session)
-            .collect();
-        for session in sessions {
-            self.sessions.remove(&session);
-            self.actions.push(DispatchAction::Close(session));
-        }
+        self.close_sessions(name);
         let lost: Vec<JobId> = self
             .jobs
             .iter()
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -67,6 +67,8 @@
     },
     /// Close a session.
     Close(SessionId),
+    /// Open another connection to this gate: the present one may be dead.
+    Redial(Arc<str>),
     /// Answer a caller.
     Reply {
         /// The caller.
@@ -94,6 +96,10 @@
     /// Since when there has been a gate that takes work, if there is one.
     served_since_us: Option<u64>,
     sessions: HashMap<SessionId, Arc<str>>,
+    /// When time last passed here.
+    turned_us: u64,
+    /// Since when this process reads without a break.
+    listening_us: u64,
     jobs: HashMap<JobId, Job>,
     backlog: BTreeSet<(u64, JobId)>,
     deadlines: BTreeSet<(u64, JobId)>,
@@ -120,6 +126,8 @@
             gates: BTreeMap::new(),
             served_since_us: None,
             sessions: HashMap::new(),
+            turned_us: 0,
+            listening_us: 0,
             jobs: HashMap::new(),
             backlog: BTreeSet::new(),
             deadlines: BTreeSet::new(),
@@ -234,7 +242,7 @@
             due_us: job.latest_begin_us().saturating_sub(now.mono_us),
             expected_us: job.expected_us,
             movable,
-            number: gate.count(run, job.spec.needs),
+            number: gate.count(now, run, job.spec.needs),
         };
         slog::debug!(self.log, "task sent"; "run" => %run, "gate" => &*choice.gate,
             "wait_us" => choice.wait_us, "run_us" => choice.run_us,
@@ -257,7 +265,10 @@
         let probes = &self.probes;
         let due = |name: &Arc<str>| probes.get(name).is_none_or(|at_us| *at_us <= now.mono_us);
         let allowed = |(name, gate): &(&Arc<str>, &GateView)| {
-            gate.is_open() && (!gate.load.suspect || !judges || due(name)) && !crowded(name)
+            gate.is_open()
+                && !gate.quiet
+                && (!gate.load.suspect || !judges || due(name))
+                && !crowded(name)
         };
         let want = want(now, job);
         let fresh = |(name, _): &(&Arc<str>, &GateView)| !task.avoid.contains(name);
@@ -279,6 +290,7 @@
         self.end_overdue(now);
         self.end_hopeless(now);
         self.drop_silent_gates(now);
+        self.doubt_quiet_gates(now);
         self.forget_past(now);
         self.dirty |= !self.backlog.is_empty();
     }
--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -77,7 +77,7 @@
         task.moves += u32::from(end == RunEnd::Stalled);
         match end {
             RunEnd::NotRun(NotRunReason::NoRoom) => task.bounces += 1,
-            RunEnd::NotRun(NotRunReason::Rejected) => {}
+            RunEnd::NotRun(NotRunReason::Rejected | NotRunReason::Lost) => {}
             _ => task.avoid.push(gate.clone()),
         }
         if let Some(why) = job.withdrawn {
--- a/src/ephemeral/entry/dials.rs
+++ b/src/ephemeral/entry/dials.rs
@@ -34,6 +34,8 @@
 struct Dial {
     addr: SocketAddr,
     session: Option<SessionId>,
+    /// Whether the session's connection may be dead, so that another is wanted.
+    doubted: bool,
     pending: bool,
     /// Its pause is also the length of the next attempt.
     backoff: Backoff,
@@ -48,6 +50,7 @@
         Dial {
             addr,
             session: None,
+            doubted: false,
             pending: false,
             backoff: Backoff::default(),
             next_us: 0,
@@ -63,7 +66,8 @@
     }
 
     fn begin_attempt(&mut self, now: Moment) -> Option<Duration> {
-        if self.session.is_some() || self.pending || now.mono_us < self.next_us {
+        let served = self.session.is_some() && !self.doubted;
+        if served || self.pending || now.mono_us < self.next_us {
             return None;
         }
         self.pending = true;
@@ -129,17 +133,27 @@
     pub fn connected(&mut self, gate: &str, open: impl FnOnce() -> SessionId) -> Option<SessionId> {
         let dial = self.gates.get_mut(gate)?;
         dial.pending = false;
+        dial.doubted = false;
         dial.backoff = Backoff::default();
         let session = open();
         dial.session = Some(session);
         Some(session)
     }
 
+    /// The connection of a gate's session may be dead: another one is wanted
+    /// beside it.
+    pub fn doubt(&mut self, gate: &str) {
+        if let Some(dial) = self.gates.get_mut(gate) {
+            dial.doubted = true;
+        }
+    }
+
     /// A session ended.
     pub fn lost(&mut self, session: SessionId) {
         let dials = self.gates.values_mut();
         for dial in dials.filter(|dial| dial.session == Some(session)) {
             dial.session = None;
+            dial.doubted = false;
         }
     }
 }
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -275,6 +275,7 @@
             match action {
                 DispatchAction::Send { session, message } => self.sessions.send(session, message),
                 DispatchAction::Close(session) => self.lose(session),
+                DispatchAction::Redial(gate) => self.dials.doubt(&gate),
                 DispatchAction::Reply { waiter, answer } => {
                     if let Some(reply) = self.replies.remove(&waiter) {
                         let _ = reply.send(answer);
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -9,7 +9,6 @@
 //! A gate that starts anew finds the runs of its predecessor in the worker's
 //! list and takes nothing before each was claimed by its entry or is over.
 
-mod answers;
 mod health;
 mod life;
 mod pace;
@@ -24,6 +23,8 @@
 
 use slog::{Logger, debug};
 
+use crate::ephemeral::answer_times::AnswerTimes;
+use crate::ephemeral::directory::WorkerRecord;
 use crate::ephemeral::job::{Resources, RunId, Urgency};
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{
@@ -33,12 +34,12 @@
 use crate::ephemeral::session::SessionId;
 use crate::ephemeral::worker::{HoldCall, StartCall, StopCall};
 use crate::time::{Moment, micros};
-use answers::AnswerTimes;
 use health::Health;
 use life::Life;
 use pace::Mark;
 use queue::Place;
 use sessions::Owner;
+use worker_life::Successor;
 
 /// How long ends are kept for entries that reconnect.
 const KEEP_ENDS: Duration = Duration::from_secs(3);
@@ -64,8 +65,8 @@
     Stop(StopCall),
     /// Ask the worker for its lists.
     Hold(HoldCall),
-    /// Orders go to this address from now on.
-    Aim(String),
+    /// This is the worker from now on; orders go to it.
+    Aim(WorkerRecord),
 }
 
 /// Why a run is being stopped.
@@ -139,6 +140,9 @@
     limits: Limits,
     log: Logger,
     life: Option<Life>,
+    successor: Option<Successor>,
+    /// Ids of lives that are known to be over.
+    past_lives: VecDeque<String>,
     room: Room,
     health: Health,
     answers: AnswerTimes,
@@ -172,6 +176,8 @@
             limits,
             log,
             life: None,
+            successor: None,
+            past_lives: VecDeque::new(),
             room: Room::default(),
             health: Health::default(),
             answers: AnswerTimes::default(),
@@ -319,6 +325,7 @@
         self.drop_unclaimed(now);
         self.stop_again(now);
         self.end_lapsed(now);
+        self.give_up_mute_life(now);
         self.forget_past(now);
         self.health.forget_old(now);
     }
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -50,7 +50,7 @@
             }
             Ok(StartReply::Old | StartReply::Rejected) => {}
             Ok(StartReply::OtherLife) | Err(OrderError::OtherLife) => {
-                self.life_is_over(now, "another life answered");
+                self.life_is_past(now);
             }
             Err(OrderError::Refused) => self.life_is_over(now, "nothing listens"),
             Err(err) if starting => {
@@ -82,7 +82,7 @@
                     *acked_us = Some(now.mono_us);
                 }
             }
-            Err(OrderError::OtherLife) => self.life_is_over(now, "another life answered"),
+            Err(OrderError::OtherLife) => self.life_is_past(now),
             Err(OrderError::Refused) => self.life_is_over(now, "nothing listens"),
             Err(err) => {
                 debug!(self.log, "stop unanswered"; "run" => %run, "error" => %err);
@@ -172,8 +172,11 @@
         }
         self.note_answer(now, answer.is_ok());
         match answer {
-            Ok(reply) => self.listed(now, sent, call, reply),
-            Err(OrderError::OtherLife) => self.life_is_over(now, "another life answered"),
+            Ok(reply) => {
+                self.dismiss_successor(sent.mono_us);
+                self.listed(now, sent, call, reply);
+            }
+            Err(OrderError::OtherLife) => self.life_is_past(now),
             Err(OrderError::Refused) => self.life_is_over(now, "nothing listens"),
             Err(err) => warn!(self.log, "hold unanswered"; "error" => %err),
         }
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -4,7 +4,9 @@
 
 use super::{Gate, GateAction, Run, RunState, StopCause};
 use crate::ephemeral::job::RunId;
-use crate::ephemeral::message::{ConfigDocument, OpenRun, ProcessId, ToEntry, ToGate};
+use crate::ephemeral::message::{
+    ConfigDocument, NotRunReason, OpenRun, ProcessId, RunEnd, ToEntry, ToGate,
+};
 use crate::ephemeral::session::SessionId;
 use crate::time::{Moment, micros};
 
@@ -137,6 +139,21 @@
         let adopted = self.unclaimed.remove(&run).is_some();
         // An earlier life of this gate may have begun and even ended it.
         let began = claimed.sent_to != self.me.incarnation;
+        if listed && !adopted && !began {
+            // Ends are kept for longer than a session may be silent, and what is
+            // still unread of an earlier connection is not acted on any more.
+            info!(self.log, "claimed run never came"; "run" => %run, "entry" => &*entry.name);
+            let end = RunEnd::NotRun(NotRunReason::Lost);
+            self.tell(
+                entry,
+                ToEntry::Ended {
+                    run,
+                    end,
+                    run_us: 0,
+                },
+            );
+            return;
+        }
         let state = match (listed, adopted) {
             (false, _) => RunState::Claimed { began },
             (true, true) => RunState::Running,
--- a/src/ephemeral/gate/worker_life.rs
+++ b/src/ephemeral/gate/worker_life.rs
@@ -1,4 +1,10 @@
 //! Lives of the worker: found, recalled, mute, gone.
+//!
+//! A report of another life may be new or may have been under way since before the
+//! present life began; nothing in it tells. The worker itself does: while the
+//! present life answers, the other one is past. So a report of another life waits
+//! as the successor until the present life is known to be over. To follow an old
+//! report would give room back that the present life still uses.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +16,7 @@
 use super::{Gate, GateAction, STOP_AGAIN};
 use crate::ephemeral::directory::WorkerRecord;
 use crate::ephemeral::job::RunId;
-use crate::ephemeral::message::{NotRunReason, RunEnd, WorkerTraits};
+use crate::ephemeral::message::{NotRunReason, RunEnd};
 use crate::ephemeral::worker::WorkerReport;
 use crate::time::{Moment, micros};
 
@@ -20,6 +26,16 @@
 /// Silence after which a worker counts as mute: three lost orders one after the
 /// other take this long.
 const MUTE_AFTER: Duration = Duration::from_millis(120);
+/// Past lives whose reports are told apart; late ones come within seconds, a life
+/// takes longer to start.
+const MOST_PAST_LIVES: usize = 16;
+
+/// Another life of the worker that has reported while the present one was there.
+#[derive(Debug)]
+pub(super) struct Successor {
+    report: WorkerReport,
+    at_us: u64,
+}
 
 impl Gate {
     /// The worker reports itself.
@@ -28,9 +44,14 @@
             .life
             .as_ref()
             .is_some_and(|life| life.traits.id == report.id);
-        if !same && !self.follow_new_life(now, &report) {
+        if !same && !self.consider_life(now, &report) {
             return;
         }
+        self.update_life(now, &report);
+    }
+
+    /// Takes in a report of the present life.
+    fn update_life(&mut self, now: Moment, report: &WorkerReport) {
         let Some(life) = &mut self.life else {
             return;
         };
@@ -44,6 +65,7 @@
             life.traits = Arc::new(report.traits());
             self.room.resize(report.capacity);
             self.load_changed = true;
+            self.actions.push(GateAction::Aim(report.record()));
         }
         if report.leaving && !life.leaving {
             info!(self.log, "worker is leaving"; "worker" => &report.id,
@@ -54,18 +76,80 @@
         }
     }
 
-    /// Turns to another life of the worker; `false` if the present one stays.
-    fn follow_new_life(&mut self, now: Moment, report: &WorkerReport) -> bool {
-        let stays = self.life.as_ref().is_some_and(|life| !life.leaving);
-        if stays && report.leaving {
-            debug!(self.log, "report of another life"; "worker" => &report.id);
+    /// A report of a life that is not the present one; `true` if it is followed at
+    /// once, as there is none.
+    fn consider_life(&mut self, now: Moment, report: &WorkerReport) -> bool {
+        if self.past_lives.contains(&report.id) {
+            info!(self.log, "report of a past life"; "worker" => &report.id,
+                "sequence" => report.sequence);
             return false;
         }
+        if self.life.is_none() {
+            self.follow_life(now, report);
+            return true;
+        }
+        info!(self.log, "report of another life"; "worker" => &report.id,
+            "leaving" => report.leaving);
+        self.successor = Some(Successor {
+            report: report.clone(),
+            at_us: now.mono_us,
+        });
+        self.check_wanted = true;
+        false
+    }
+
+    fn follow_life(&mut self, now: Moment, report: &WorkerReport) {
         info!(self.log, "worker found"; "worker" => &report.id, "addr" => &report.addr,
             "cpu_milli" => report.capacity.cpu_milli, "leaving" => report.leaving);
-        self.life_is_over(now, "another life reported");
-        self.adopt_life(now, report.traits(), &report.addr);
-        true
+        self.adopt_life(now, &report.record());
+    }
+
+    /// The present life answered what was asked at `asked_us`: another life that had
+    /// reported by then is past. One that is leaving may still have a successor.
+    pub(super) fn dismiss_successor(&mut self, asked_us: u64) {
+        let stays = self.life.as_ref().is_some_and(|life| !life.leaving);
+        let old = |successor: &Successor| stays && successor.at_us <= asked_us;
+        if let Some(successor) = self.successor.take_if(|successor| old(successor)) {
+            info!(self.log, "report was of a past life"; "worker" => &successor.report.id);
+        }
+    }
+
+    /// The present life is over: turns to the one that has reported meanwhile.
+    fn follow_successor(&mut self, now: Moment) {
+        if let Some(successor) = self.successor.take() {
+            self.follow_life(now, &successor.report);
+            self.update_life(now, &successor.report);
+        }
+    }
+
+    /// Gives a life up that neither answers nor can still run anything, if another
+    /// one has reported.
+    pub(super) fn give_up_mute_life(&mut self, now: Moment) {
+        let lease = self.limits.lease;
+        let over = self
+            .life
+            .as_ref()
+            .is_some_and(|life| life.lease_is_over(now, lease));
+        if over && self.successor.is_some() && self.is_mute(now) {
+            self.life_is_over(now, "mute, and another life reported");
+        }
+    }
+
+    /// No report of this life is believed any more.
+    fn bar_life(&mut self, id: &str) {
+        if self.past_lives.len() == MOST_PAST_LIVES {
+            self.past_lives.pop_front();
+        }
+        self.past_lives.push_back(id.to_string());
+    }
+
+    /// The worker said that the life that was meant is not there any more.
+    pub(super) fn life_is_past(&mut self, now: Moment) {
+        if let Some(life) = &self.life {
+            let id = life.traits.id.clone();
+            self.bar_life(&id);
+        }
+        self.life_is_over(now, "another life answered");
     }
 
     /// The worker that an earlier gate on this machine had, if none is known
@@ -75,21 +159,22 @@
             return;
         }
         info!(self.log, "worker recalled"; "worker" => &worker.traits.id, "addr" => &worker.addr);
-        self.adopt_life(now, worker.traits.clone(), &worker.addr);
+        self.adopt_life(now, worker);
     }
 
-    fn adopt_life(&mut self, now: Moment, traits: WorkerTraits, addr: &str) {
+    fn adopt_life(&mut self, now: Moment, worker: &WorkerRecord) {
         self.misses = 0;
         self.answered_us = now.mono_us;
-        self.room.resize(traits.capacity);
-        self.life = Some(Life::new(traits, now));
+        self.room.resize(worker.traits.capacity);
+        self.life = Some(Life::new(worker.traits.clone(), now));
         self.health = Health::default();
-        self.actions.push(GateAction::Aim(addr.to_string()));
+        self.actions.push(GateAction::Aim(worker.clone()));
         self.load_changed = true;
     }
 
     /// The worker says that it ends.
     pub fn worker_left(&mut self, now: Moment, id: &str) {
+        self.bar_life(id);
         let ours = self.life.as_ref().is_some_and(|life| life.traits.id == id);
         if ours {
             self.life_is_over(now, "worker left");
@@ -109,6 +194,7 @@
         for run in out {
             self.end(now, run, RunEnd::Stopped);
         }
+        self.follow_successor(now);
     }
 
     /// Whether the worker lets orders go unanswered, one after the other.
--- a/src/ephemeral/limits.rs
+++ b/src/ephemeral/limits.rs
@@ -22,6 +22,9 @@
 const LEASE_SHARE: f64 = 0.53;
 /// Heartbeats in one span of silence: two may be lost.
 const BEATS_IN_SILENCE: u32 = 3;
+/// Heartbeats without any frame after which a session's connection is doubted; a
+/// gate sends a frame each heartbeat at least, and a turn of its loop may delay it.
+const QUIET_BEATS: f64 = 1.25;
 /// Longest silence, however long callers pause.
 const MOST_SILENCE: Duration = Duration::from_millis(1_000);
 
@@ -30,6 +33,9 @@
 pub struct Limits {
     /// Pause between two heartbeats of a session.
     pub beat: Duration,
+    /// Silence after which a second connection is opened beside a session's first:
+    /// a connection may go dead without a word while its peer lives.
+    pub quiet: Duration,
     /// Silence after which a session's peer counts as gone.
     pub silence: Duration,
     /// Oldest frame that is still acted on.
@@ -50,8 +56,10 @@
     /// `most_lease` and stop a run within `stop`.
     pub fn new(resend: Duration, most_lease: Duration, stop: Duration) -> Limits {
         let silence = resend.mul_f64(SILENCE_SHARE).min(MOST_SILENCE);
+        let beat = silence / BEATS_IN_SILENCE;
         Limits {
-            beat: silence / BEATS_IN_SILENCE,
+            beat,
+            quiet: beat.mul_f64(QUIET_BEATS),
             silence,
             frame_age: silence / 2,
             claim: silence / 2,
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -171,6 +171,8 @@
     NoWorker,
     /// The entry withdrew it.
     Withdrawn,
+    /// The order did not reach the gate: its connection went dead.
+    Lost,
     /// The order did not reach the worker, which bars it now.
     Unanswered,
     /// The worker turned it down.
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -17,6 +17,7 @@
 //! - [`entry`], [`agent`]: the loops around the decisions.
 
 pub mod agent;
+mod answer_times;
 pub mod backoff;
 pub mod directory;
 pub mod dispatcher;
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -7,13 +7,16 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::ephemeral::answer_times::AnswerTimes;
 use crate::ephemeral::job::{Constraints, Resources, RunId, Urgency};
 use crate::ephemeral::message::{GateLoad, QueueLoad, WorkerTraits};
 use crate::ephemeral::session::SessionId;
+use crate::time::{Moment, micros};
 
 /// Mean run time of a gate that has none yet, in microseconds: the sites' mean.
 const UNKNOWN_MEAN_US: f64 = 200_000.0;
@@ -31,6 +34,15 @@
 /// How much longer a task takes away from its data, if nothing says so.
 const DEFAULT_FAR_FACTOR: f64 = 1.5;
 
+/// A start that the gate has not told to have seen.
+#[derive(Debug)]
+struct UnseenStart {
+    number: u64,
+    run: RunId,
+    needs: Resources,
+    sent_us: u64,
+}
+
 /// What an entry knows of a gate.
 #[derive(Debug)]
 pub struct GateView {
@@ -46,8 +58,14 @@
     pub claimed: Vec<RunId>,
     /// Starts sent in this session.
     pub sent: u64,
-    /// Starts that the last load does not contain: their number and needs.
-    unseen: VecDeque<(u64, RunId, Resources)>,
+    /// Starts that the last load does not contain, oldest first.
+    unseen: VecDeque<UnseenStart>,
+    /// How long the gate takes to tell that it has seen a start.
+    answers: AnswerTimes,
+    /// When the connection of the session, or of the one to come, was opened.
+    connected_us: u64,
+    /// Whether its connection is in doubt; nothing is placed there then.
+    pub quiet: bool,
     /// Processor time of tasks that are only thought to be placed here.
     reserved_cpu_milli: u64,
 }
@@ -63,29 +81,55 @@
             claimed: Vec::new(),
             sent: 0,
             unseen: VecDeque::new(),
+            answers: AnswerTimes::default(),
+            connected_us: now_us,
+            quiet: false,
             reserved_cpu_milli: 0,
         }
     }
 
     /// A new session begins; what was sent before counts no more.
-    pub fn begin_session(&mut self) {
+    pub fn begin_session(&mut self, now: Moment) {
         self.sent = 0;
         self.unseen.clear();
+        self.connected_us = now.mono_us;
+        self.quiet = false;
     }
 
     /// Takes in a load.
-    pub fn observe(&mut self, load: GateLoad) {
-        self.unseen.retain(|(number, ..)| *number > load.seen);
+    pub fn observe(&mut self, now: Moment, load: GateLoad) {
+        while let Some(start) = self.unseen.pop_front_if(|start| start.number <= load.seen) {
+            let took_us = now.mono_us.saturating_sub(start.sent_us);
+            self.answers.learn(took_us);
+        }
         self.load = load;
     }
 
     /// Counts a start; returns its number in the session.
-    pub fn count(&mut self, run: RunId, needs: Resources) -> u64 {
+    pub fn count(&mut self, now: Moment, run: RunId, needs: Resources) -> u64 {
         self.sent += 1;
-        self.unseen.push_back((self.sent, run, needs));
+        self.unseen.push_back(UnseenStart {
+            number: self.sent,
+            run,
+            needs,
+            sent_us: now.mono_us,
+        });
         self.sent
     }
 
+    /// Whether the gate should have been heard by now: it has sent nothing for
+    /// `quiet`, or has not told to have seen a start for much longer than usual.
+    /// Counted from `listening_us` at the earliest, since when this process reads.
+    pub fn is_overdue(&self, now: Moment, quiet: Duration, listening_us: u64) -> bool {
+        let since_us = listening_us.max(self.connected_us);
+        let heard_us = self.heard_us.max(since_us);
+        let start = self.unseen.front();
+        let start_due_us = start.map(|start| start.sent_us.max(since_us));
+        let start_late = start_due_us
+            .is_some_and(|sent_us| now.mono_us > sent_us + micros(self.answers.limit()));
+        start_late || now.mono_us > heard_us + micros(quiet)
+    }
+
     /// Counts a task that is only thought to be placed here.
     pub fn reserve(&mut self, needs: Resources) {
         self.reserved_cpu_milli += needs.cpu_milli;
@@ -98,7 +142,7 @@
 
     /// A run that was sent is over.
     pub fn over(&mut self, run: RunId) {
-        self.unseen.retain(|(_, sent, _)| *sent != run);
+        self.unseen.retain(|start| start.run != run);
     }
 
     /// The gate turned a run away for want of room, against its last load.
@@ -125,7 +169,7 @@
     }
 
     fn unseen_cpu(&self) -> u64 {
-        let sent = self.unseen.iter().map(|(.., sent)| sent.cpu_milli);
+        let sent = self.unseen.iter().map(|start| start.needs.cpu_milli);
         sent.sum::<u64>() + self.reserved_cpu_milli
     }
 
--- a/src/ephemeral/worker.rs
+++ b/src/ephemeral/worker.rs
@@ -12,6 +12,7 @@
 
 use quick_error::quick_error;
 
+use crate::ephemeral::directory::WorkerRecord;
 use crate::ephemeral::job::{Resources, RunId};
 use crate::ephemeral::message::WorkerTraits;
 
@@ -48,6 +49,14 @@
             labels: self.labels.clone(),
         }
     }
+
+    /// What is kept of it in the store.
+    pub fn record(&self) -> WorkerRecord {
+        WorkerRecord {
+            traits: self.traits(),
+            addr: self.addr.clone(),
+        }
+    }
 }
 
 /// An order to begin a run.
--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -144,6 +144,8 @@
     gate_session: SessionId,
     to_gate: Link<ToGate>,
     to_entry: Link<ToEntry>,
+    /// Carries nothing any more, not even its end, while a new one would work.
+    silent: bool,
 }
 
 /// What a caller knows of its job.
@@ -165,6 +167,8 @@
     entries: Vec<Option<EntryProcess>>,
     gates: Vec<Option<GateProcess>>,
     pub workers: Vec<FakeWorker>,
+    /// Ids of the workers' lives before the last crash.
+    past_workers: Vec<Option<String>>,
     connections: Vec<Connection>,
     callers: BTreeMap<JobId, Caller>,
     late: Vec<(u64, Late)>,
@@ -176,6 +180,8 @@
     pub unanswered: u32,
     pub violations: Vec<String>,
     pub completed: usize,
+    /// Answers that do not say what became of the job.
+    pub unknown: usize,
     pub starts: usize,
 }
 
@@ -197,6 +203,7 @@
             entries: (0..3).map(|_| None).collect(),
             gates: (0..3).map(|_| None).collect(),
             workers: (0..3).map(worker).collect(),
+            past_workers: vec![None; 3],
             connections: Vec::new(),
             callers: BTreeMap::new(),
             late: Vec::new(),
@@ -207,6 +214,7 @@
             unanswered: 0,
             violations: Vec::new(),
             completed: 0,
+            unknown: 0,
             starts: 0,
         };
         for index in 0..3 {
@@ -277,6 +285,8 @@
         for (waiter, job) in entry.asked {
             self.heard_nothing(job, waiter);
         }
+        self.connections
+            .retain(|connection| connection.entry != index || !connection.silent);
         self.close_connections(|connection| connection.entry == index, !cut);
     }
 
@@ -318,7 +328,45 @@
         self.close_connections(|connection| connection.entry == entry, true);
     }
 
+    /// Every connection of an entry goes dead without a word.
+    pub fn silence_connections(&mut self, entry: usize) {
+        let of_entry = self.connections.iter_mut().filter(|one| one.entry == entry);
+        for connection in of_entry {
+            connection.silent = true;
+            connection.to_gate.frames.clear();
+            connection.to_entry.frames.clear();
+        }
+    }
+
+    /// A report of a worker's life arrives that was sent before its last crash.
+    pub fn late_report(&mut self, index: usize) {
+        let now = self.gate_moment(index);
+        let Some(id) = self.past_workers[index].clone() else {
+            return;
+        };
+        let report = self.report_of(index, id);
+        if let Some(process) = &mut self.gates[index] {
+            process.gate.worker_report(now, report);
+        }
+    }
+
+    fn report_of(&self, index: usize, id: String) -> WorkerReport {
+        let worker = &self.workers[index];
+        WorkerReport {
+            id,
+            service: "s".into(),
+            addr: String::new(),
+            leaving: false,
+            leaves_in_ms: None,
+            capacity: worker.capacity,
+            labels: Vec::new(),
+            clock_ms: worker.clock_ms(self.now_us),
+            sequence: self.now_us,
+        }
+    }
+
     pub fn crash_worker(&mut self, index: usize) {
+        self.past_workers[index] = Some(self.workers[index].id.clone());
         self.lives += 1;
         let id = format!("w{index}-{}", self.lives);
         self.workers[index].crash(id);
@@ -331,10 +379,12 @@
         }
     }
 
-    /// Closes connections; with a reset what the peers have not read is lost.
+    /// Closes connections; with a reset what the peers have not read is lost. The
+    /// end of a dead connection does not reach its other side.
     fn close_connections(&mut self, which: impl Fn(&Connection) -> bool, reset: bool) {
         let buffered = self.rng.random_bool(0.5);
-        for connection in self.connections.iter_mut().filter(|one| which(one)) {
+        let alive = self.connections.iter_mut().filter(|one| !one.silent);
+        for connection in alive.filter(|one| which(one)) {
             connection.to_gate.closed = true;
             connection.to_entry.closed = true;
             if reset && !buffered {
@@ -408,6 +458,7 @@
             ResultCode::OutcomeUnknown | ResultCode::DeadlinePassed
         );
         if unknown {
+            self.unknown += 1;
             self.heard_nothing(id, waiter);
             return;
         }
@@ -523,6 +574,7 @@
             gate_session: SessionId(called.sessions),
             to_gate: Link::default(),
             to_entry: Link::default(),
+            silent: false,
         };
         self.connections.push(connection);
         let name: Arc<str> = format!("gate-{gate}").into();
@@ -617,6 +669,7 @@
     fn carry_out_entry(&mut self, index: usize, actions: Vec<DispatchAction>) {
         let sent_us = self.moment(index).mono_us;
         let mut outbox: HashMap<SessionId, Vec<ToGate>> = HashMap::new();
+        let mut redial = Vec::new();
         for action in actions {
             match action {
                 DispatchAction::Send { session, message } => {
@@ -624,8 +677,10 @@
                 }
                 DispatchAction::Close(session) => {
                     let of = |one: &Connection| one.entry == index && one.entry_session == session;
+                    self.connections.retain(|one| !one.silent || !of(one));
                     self.close_connections(of, true);
                 }
+                DispatchAction::Redial(name) => redial.push(name),
                 DispatchAction::Reply { waiter, answer } => {
                     self.answered(index, waiter, &answer);
                 }
@@ -637,11 +692,22 @@
             let connection = self.connections.iter_mut().find(|one| {
                 one.entry == index && one.entry_session == session && !one.to_gate.closed
             });
-            if let Some(connection) = connection {
+            if let Some(connection) = connection.filter(|one| !one.silent) {
                 let frame = (at_us, sent_us, messages);
                 connection.to_gate.frames.push_back(frame);
             }
         }
+        for name in redial {
+            self.redial(index, &name);
+        }
+    }
+
+    /// Opens another connection beside the present one, which may be dead.
+    fn redial(&mut self, entry: usize, name: &str) {
+        let gate = (0..self.gates.len()).find(|gate| name == format!("gate-{gate}"));
+        if let Some(gate) = gate.filter(|gate| self.reachable(entry, *gate)) {
+            self.connect(entry, gate);
+        }
     }
 
     fn gate_turn(&mut self, index: usize) {
@@ -674,18 +740,11 @@
             return;
         }
         process.reported_us = now_us;
-        let report = WorkerReport {
-            id: worker.id.clone(),
-            service: "s".into(),
-            addr: String::new(),
-            leaving: false,
-            leaves_in_ms: None,
-            capacity: worker.capacity,
-            labels: Vec::new(),
-            clock_ms: worker.clock_ms(now_us),
-            sequence: now_us,
-        };
-        process.gate.worker_report(now, report);
+        let id = worker.id.clone();
+        let report = self.report_of(index, id);
+        if let Some(process) = &mut self.gates[index] {
+            process.gate.worker_report(now, report);
+        }
     }
 
     fn gate_answers(&mut self, index: usize, now: Moment) {
@@ -790,7 +849,10 @@
         let at_us = self.now_us + self.rng.random_range(500..4_000);
         for (session, messages) in outbox {
             let connection = self.connections.iter_mut().find(|one| {
-                one.gate == index && one.gate_session == session && !one.to_entry.closed
+                one.gate == index
+                    && one.gate_session == session
+                    && !one.to_entry.closed
+                    && !one.silent
             });
             if let Some(connection) = connection {
                 let frame = (at_us, sent_us, messages);
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -207,6 +207,32 @@
         self.collect();
     }
 
+    /// The worker says that the life that the gate means is not there.
+    fn another_life_answers(&mut self) {
+        let call = HoldCall {
+            worker: Some(self.worker().into()),
+            fence: None,
+            lease_until_ms: None,
+            acked_end: 0,
+            wait_ms: 0,
+            limit: std::time::Duration::from_millis(25),
+            check: true,
+        };
+        let answer = Err(OrderError::OtherLife);
+        let sent = self.now;
+        self.gate.hold_answered(self.now, sent, &call, answer);
+        self.pass(20);
+    }
+
+    /// Id of the worker that orders go to.
+    fn worker(&self) -> String {
+        let aims = self.actions.iter().filter_map(|action| match action {
+            GateAction::Aim(worker) => Some(worker.traits.id.clone()),
+            _ => None,
+        });
+        aims.last().unwrap_or_else(|| "w".to_string())
+    }
+
     fn ordered(&self) -> Vec<RunId> {
         let starts = self.actions.iter().filter_map(|action| match action {
             GateAction::Start(call) => Some(call.run),
@@ -493,7 +519,85 @@
     bench.started(run(1), Ok(StartReply::Running));
     bench.gate.worker_report(bench.now, report("w2", false, 1));
     bench.collect();
+    assert!(bench.ends().is_empty(), "the report may be an old one");
+    bench.another_life_answers();
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+    assert_eq!(bench.worker(), "w2");
+}
+
+/// A report that was held up on its way told of a life that had crashed before the
+/// present one began: the gate followed it, took the present runs as stopped and
+/// gave their room again.
+#[test]
+fn a_late_report_of_an_earlier_life_changes_nothing_while_the_present_one_answers() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.gate.worker_report(bench.now, report("w0", false, 9));
+    bench.collect();
+    bench.pass(5);
+    bench.lists(vec![(run(1), 50)], Vec::new());
+    bench.order(run(2), 600, 100);
+    assert!(bench.ends().is_empty());
+    assert_eq!(bench.ordered(), [run(1)], "the room is still taken");
+    assert_eq!(bench.worker(), "w");
+    bench.another_life_answers();
+    assert_eq!(
+        bench.last_load().worker,
+        None,
+        "nothing is left of the report"
+    );
+}
+
+#[test]
+fn a_life_that_was_superseded_does_not_come_back() {
+    let mut bench = Bench::ready();
+    bench.gate.worker_report(bench.now, report("w2", false, 1));
+    bench.another_life_answers();
+    assert_eq!(bench.worker(), "w2");
+    bench.gate.worker_report(bench.now, report("w", false, 50));
+    bench.another_life_answers();
+    bench.gate.worker_report(bench.now, report("w", false, 51));
+    bench.pass(20);
+    assert_eq!(bench.last_load().worker, None);
+}
+
+#[test]
+fn a_life_that_said_goodbye_does_not_come_back() {
+    let mut bench = Bench::ready();
+    bench.gate.worker_left(bench.now, "w");
+    bench.gate.worker_report(bench.now, report("w", false, 50));
+    bench.pass(20);
+    assert_eq!(bench.last_load().worker, None);
+}
+
+#[test]
+fn a_recalled_life_gives_way_to_the_one_that_reports() {
+    let mut bench = Bench::unlisted();
+    bench.gate.worker_report(bench.now, report("w2", false, 1));
+    bench.another_life_answers();
+    assert_eq!(bench.worker(), "w2");
+}
+
+#[test]
+fn a_mute_life_gives_way_once_nothing_can_run_on_it_any_more() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.pass(130);
+    for _ in 0..3 {
+        bench.stopped(run(9), Err(OrderError::Unanswered));
+    }
+    bench.gate.worker_report(bench.now, report("w2", false, 1));
+    bench.pass(100);
+    assert_eq!(bench.worker(), "w");
+    assert!(bench.ends().is_empty());
+    for _ in 0..8 {
+        bench.gate.heard(bench.now, ENTRY);
+        bench.pass(100);
+    }
     assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+    assert_eq!(bench.worker(), "w2");
 }
 
 /// Found by 6,000 cases of `ephemeral_safety`: the end of an earlier run of the same name
--- a/tests/ephemeral_safety.rs
+++ b/tests/ephemeral_safety.rs
@@ -29,7 +29,9 @@
     CutEntry(u8, u8),
     CutGate(u8, u8),
     Reset(u8),
+    Silence(u8),
     CrashWorker(u8),
+    LateReport(u8),
     MuteWorker(u8, u8),
     HangWorker(u8),
     LoseOrders,
@@ -55,7 +57,9 @@
         Happening::CutEntry(which, length) => fleet.cut_entry(pick(which), span(length)),
         Happening::CutGate(which, length) => fleet.cut_gate(pick(which), span(length)),
         Happening::Reset(which) => fleet.reset_connections(pick(which)),
+        Happening::Silence(which) => fleet.silence_connections(pick(which)),
         Happening::CrashWorker(which) => fleet.crash_worker(pick(which)),
+        Happening::LateReport(which) => fleet.late_report(pick(which)),
         Happening::MuteWorker(which, length) => {
             let until_us = fleet.now_us + span(length);
             fleet.workers[pick(which)].mute_until_us = until_us;
