Measure waits and costs in typical run times; keep tasks off workers too slow for their objective

Also a run counted as standing still after 120 ms, although a run of 12 s makes its next whole percent only then.

Now: costs are parts of the typical run time, congestion is the part of their patience that jobs wait, a job waits for gates for 0.22 of its objective, standing still is 0.08 of the expected run time (120 ms at least), and a task that would miss its objective at a worker costs up to one typical run time there.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -9,7 +9,7 @@
 use slog::info;
 
 use super::job::Job;
-use super::{COME_BACK_MS, DispatchAction, Dispatcher, WaiterId, failed, refused, want};
+use super::{COME_BACK_MS, DispatchAction, Dispatcher, WaiterId, failed, refused};
 use crate::code::ResultCode;
 use crate::ephemeral::job::{JobId, JobSpec, Urgency};
 use crate::ephemeral::placement::GateView;
@@ -19,8 +19,6 @@
 
 /// When a caller should come back that no worker could be found for.
 const COME_BACK_LATER_MS: u64 = 1_000;
-/// Run time expected where neither the caller nor past runs tell, in microseconds.
-const UNKNOWN_RUN_US: u64 = 200_000;
 /// Weight of the caller's own estimate against the mean of past runs; estimates
 /// of the sites are off by 40%, run times vary by 40%.
 const ESTIMATE_WEIGHT: f64 = 0.5;
@@ -32,9 +30,9 @@
 /// The same where congestion stands: less urgent jobs are refused first, and waits
 /// stay short for those that are taken.
 const CONGESTED_ADMIT_SHARE: f64 = 0.2;
-/// Longest wait of a job for any gate: a quarter of the shortest objective of the
-/// sites, after which a refusal counts as late.
-const PARKED: Duration = Duration::from_millis(35);
+/// Part of its objective that a job waits for any gate: a refusal after that would
+/// come too late for its caller to try elsewhere.
+const PARKED_SHARE: f64 = 0.22;
 /// How long gates must have been known before a job that fits none of their
 /// workers is said to fit none at all; workers report every 1.5 s.
 const ALL_KNOWN: Duration = Duration::from_secs(3);
@@ -61,7 +59,7 @@
         if !self.gates.values().any(GateView::is_open) {
             return Err(Denial::NoGate);
         }
-        let want = want(now, job);
+        let want = self.want(now, job);
         let fitting = |gate: &GateView| {
             let worker = gate.load.worker.as_ref();
             worker.is_some_and(|worker| want.fits(worker))
@@ -73,8 +71,10 @@
             let answer = refused("no worker takes it now", COME_BACK_LATER_MS);
             return Err(Denial::Answer(answer));
         };
-        self.congestion.observe(now, waits.first_us);
         let patience_us = job.patience_us(now.mono_us) as f64;
+        let wait = waits.first_us as f64 / patience_us.max(1.0);
+        let typical_us = self.typical_run.us();
+        self.congestion.observe(now, wait, typical_us);
         let most_us = patience_us * self.admit_share(job);
         if waits.longest_us as f64 > most_us {
             let text = format!(
@@ -135,7 +135,7 @@
     fn expected_us(&self, spec: &JobSpec, route: &Route) -> u64 {
         let mean_us = self.run_times.mean_us(&route.service, &route.name);
         match (spec.estimate_us, mean_us) {
-            (0, None) => UNKNOWN_RUN_US,
+            (0, None) => self.typical_run.us(),
             (0, Some(mean_us)) => mean_us,
             (estimate_us, None) => estimate_us,
             (estimate_us, Some(mean_us)) => {
@@ -174,7 +174,10 @@
         job.waiters.push(waiter);
         match self.admit(now, &job) {
             Ok(()) => {}
-            Err(Denial::NoGate) => job.parked_until_us = Some(now.after(PARKED)),
+            Err(Denial::NoGate) => {
+                let parked_us = job.objective_us() as f64 * PARKED_SHARE;
+                job.parked_until_us = Some(now.mono_us + parked_us as u64);
+            }
             Err(Denial::Answer(answer)) => {
                 self.log_end(now, &job, &answer);
                 self.actions.push(DispatchAction::Reply { waiter, answer });
--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -261,7 +261,7 @@
         };
         gate.over(run);
         if end == RunEnd::NotRun(NotRunReason::NoRoom) {
-            gate.had_no_room();
+            gate.had_no_room(self.typical_run.us());
         }
     }
 }
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -97,10 +97,16 @@
     }
 
     /// Length of its latency objective, in microseconds.
-    fn objective_us(&self) -> u64 {
+    pub fn objective_us(&self) -> u64 {
         (self.expected_us as f64 * self.route.stretch) as u64 + self.route.slack_us
     }
 
+    /// Time left to end a task so that the answer meets the objective.
+    pub fn objective_left_us(&self, now_us: u64) -> u64 {
+        let until_us = self.arrived_us + self.objective_us();
+        until_us.saturating_sub(now_us + OVERHEAD_US)
+    }
+
     /// Latest time to begin a task so that the objective is met.
     pub fn latest_begin_us(&self) -> u64 {
         let run_us = (self.expected_us as f64 * RUN_MARGIN) as u64 + OVERHEAD_US;
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -13,6 +13,7 @@
 mod gates;
 mod job;
 mod progress;
+mod typical_run;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -32,6 +33,7 @@
 use caller_waits::CallerWaits;
 use congestion::Congestion;
 use job::{Job, TaskState};
+use typical_run::TypicalRun;
 
 /// How long answers are kept for callers that ask again.
 const KEEP_ANSWERS: Duration = Duration::from_secs(10);
@@ -110,6 +112,7 @@
     caller_waits: CallerWaits,
     placer: Placer,
     run_times: RunTimes,
+    typical_run: TypicalRun,
     config: Option<ConfigDocument>,
     actions: Vec<DispatchAction>,
     dirty: bool,
@@ -137,6 +140,7 @@
             congestion: Congestion::default(),
             caller_waits: CallerWaits::default(),
             run_times: RunTimes::default(),
+            typical_run: TypicalRun::default(),
             config: None,
             actions: Vec::new(),
             dirty: false,
@@ -270,7 +274,7 @@
                 && (!gate.load.suspect || !judges || due(name))
                 && !crowded(name)
         };
-        let want = want(now, job);
+        let want = self.want(now, job);
         let fresh = |(name, _): &(&Arc<str>, &GateView)| !task.avoid.contains(name);
         let others = self.gates.iter().filter(allowed).filter(fresh);
         let choice = self.placer.choose(others, &want);
@@ -278,6 +282,19 @@
         choice.or_else(|| self.placer.choose(self.gates.iter().filter(allowed), &want))
     }
 
+    fn want<'a>(&self, now: Moment, job: &'a Job) -> Want<'a> {
+        Want {
+            service: &job.route.service,
+            needs: &job.spec.needs,
+            constraints: &job.spec.constraints,
+            urgency: job.route.urgency(),
+            expected_us: job.expected_us,
+            left_us: job.deadline_us.saturating_sub(now.mono_us),
+            objective_us: job.objective_left_us(now.mono_us),
+            typical_us: self.typical_run.us(),
+        }
+    }
+
     fn place_backlog(&mut self, now: Moment) {
         let waiting: Vec<JobId> = self.backlog.iter().map(|(_, id)| *id).collect();
         for id in waiting {
@@ -425,17 +442,6 @@
     }
 }
 
-fn want(now: Moment, job: &Job) -> Want<'_> {
-    Want {
-        service: &job.route.service,
-        needs: &job.spec.needs,
-        constraints: &job.spec.constraints,
-        urgency: job.route.urgency(),
-        expected_us: job.expected_us,
-        left_us: job.deadline_us.saturating_sub(now.mono_us),
-    }
-}
-
 fn refused(why: &str, come_back_ms: u64) -> Answer {
     Answer::not_run(ResultCode::Overloaded, why).retry_after(come_back_ms)
 }
--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -47,6 +47,7 @@
                 task.state = TaskState::Done;
                 let done = job.all_done();
                 self.run_times.learn(&route.service, &route.name, run_us);
+                self.typical_run.learn(run_us);
                 if done {
                     self.finish(now, run.job, Answer::complete(Vec::new()));
                 }
--- a/src/ephemeral/gate/pace.rs
+++ b/src/ephemeral/gate/pace.rs
@@ -17,11 +17,15 @@
 /// Runs that a measure of the worker's pace needs: run times of single ones are
 /// guessed wrong by half.
 const FEWEST_RUNS: usize = 3;
-/// Time without any progress after which a run counts as standing still; the
-/// longest runs of the sites make a percent in 36 ms.
+/// Shortest time without any progress after which a run counts as standing still:
+/// four looks.
 const STILL: Duration = Duration::from_millis(120);
-/// Cost of moving a run, in microseconds: the stop takes up to 50 ms.
-const MOVE_US: f64 = 80_000.0;
+/// The same as a part of the expected run time: workers tell whole percents, and a
+/// long run makes its next one only after a while.
+const STILL_SHARE: f64 = 0.08;
+/// Cost of moving a run beyond the time that its stop may take: orders on the way,
+/// and turns of three loops.
+const MOVE: Duration = Duration::from_millis(30);
 /// Times its run time elsewhere that what is left of a run must take here
 /// before it is moved.
 const MOVE_FACTOR: f64 = 1.3;
@@ -77,7 +81,8 @@
 
     fn stands_still(&self, now: Moment) -> bool {
         let since_us = self.mark.map_or(now.mono_us, |mark| mark.still_since_us);
-        now.mono_us > since_us + micros(STILL)
+        let share_us = (self.expected_us as f64 * STILL_SHARE) as u64;
+        now.mono_us > since_us + share_us.max(micros(STILL))
     }
 
     /// Time that the run needs on a worker of the given slowness, in microseconds.
@@ -116,8 +121,9 @@
     fn to_move(&self, now: Moment) -> Vec<RunId> {
         let (here, usual) = (self.health.slowness(), self.health.usual());
         let slow = self.health.is_slow();
+        let move_us = micros(self.limits.stop + MOVE) as f64;
         let too_slow = |record: &Run| {
-            let elsewhere_us = record.expected_us as f64 * usual * MOVE_FACTOR + MOVE_US;
+            let elsewhere_us = record.expected_us as f64 * usual * MOVE_FACTOR + move_us;
             slow && record.movable && record.left_at(here) > elsewhere_us
         };
         let running = self
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -18,19 +18,24 @@
 use crate::ephemeral::session::SessionId;
 use crate::time::{Moment, micros};
 
-/// Mean run time of a gate that has none yet, in microseconds: the sites' mean.
-const UNKNOWN_MEAN_US: f64 = 200_000.0;
-/// Most by which scores are blurred, in microseconds.
-const NOISE_US: f64 = 10_000.0;
-/// Cost of a full worker against an empty one, in microseconds; it spreads short
-/// tasks by free room, since a faster worker does not serve them better.
-const CROWDING_US: f64 = 60_000.0;
-/// Cost of a fast worker's room for a task that is short against its deadline,
-/// in microseconds; it keeps that room for long tasks.
-const FAST_ROOM_US: f64 = 40_000.0;
-/// Wait expected at a gate that was full against its load, in microseconds: a
-/// third of the sites' shortest work, as some run there ends soon.
-const FULL_WAIT_US: u64 = 20_000;
+/// Most by which scores are blurred, in typical run times.
+const NOISE: f64 = 0.06;
+/// Cost of a full worker against an empty one, in typical run times; it spreads
+/// short tasks by free room, since a faster worker does not serve them better.
+const CROWDING: f64 = 0.4;
+/// Cost of a fast worker's room for a task that is short against its deadline, in
+/// typical run times; it keeps that room for long tasks.
+const FAST_ROOM: f64 = 0.25;
+/// Cost of a task that would miss its objective, in typical run times: a worker
+/// that is too slow for it is worth a long wait elsewhere.
+const MISSED: f64 = 1.0;
+/// Parts of the time to the objective from which a task may miss it, and from which
+/// it is certain to; between them run times decide that are not known yet.
+const MISS_FROM: f64 = 0.8;
+const MISS_BY: f64 = 1.1;
+/// Wait expected at a gate that was full against its load, in typical run times:
+/// of several runs there one ends soon.
+const FULL_WAIT: f64 = 0.125;
 /// How much longer a task takes away from its data, if nothing says so.
 const DEFAULT_FAR_FACTOR: f64 = 1.5;
 
@@ -146,10 +151,11 @@
     }
 
     /// The gate turned a run away for want of room, against its last load.
-    pub fn had_no_room(&mut self) {
+    pub fn had_no_room(&mut self, typical_us: u64) {
         self.load.free = Resources::default();
+        let wait_us = (typical_us as f64 * FULL_WAIT) as u64;
         for queue in [&mut self.load.urgent_queue, &mut self.load.queue] {
-            queue.wait_us = queue.wait_us.max(FULL_WAIT_US);
+            queue.wait_us = queue.wait_us.max(wait_us);
         }
     }
 
@@ -182,7 +188,7 @@
         let first_us = queue.wait_us as f64;
         let unseen = self.unseen_cpu() as f64;
         let mean_us = match self.load.mean_run_us {
-            0 => UNKNOWN_MEAN_US,
+            0 => want.typical_us as f64,
             mean_us => mean_us as f64,
         };
         first_us + unseen * mean_us / capacity.cpu_milli.max(1) as f64
@@ -208,9 +214,24 @@
     pub expected_us: u64,
     /// Time left until the deadline, in microseconds.
     pub left_us: u64,
+    /// Time left until the objective, less what messages take, in microseconds.
+    pub objective_us: u64,
+    /// Run time of recent tasks of all kinds, in microseconds; the measure of what
+    /// a wait, or a place that is taken, costs others.
+    pub typical_us: u64,
 }
 
 impl Want<'_> {
+    /// How likely a task that would end after `end_us` misses its objective; 0 where
+    /// the objective is past already, as nothing is to be won then.
+    fn miss_chance(&self, end_us: f64) -> f64 {
+        if self.objective_us == 0 {
+            return 0.0;
+        }
+        let part = end_us / self.objective_us as f64;
+        ((part - MISS_FROM) / (MISS_BY - MISS_FROM)).clamp(0.0, 1.0)
+    }
+
     /// Whether `worker` could ever run it.
     pub fn fits(&self, worker: &WorkerTraits) -> bool {
         let label = self.constraints.label.as_ref();
@@ -254,6 +275,7 @@
         want: &Want<'_>,
     ) -> Option<Choice> {
         let mut best: Option<(f64, Choice)> = None;
+        let typical_us = want.typical_us as f64;
         for (name, gate) in gates {
             let Some(worker) = gate.worker().filter(|worker| want.fits(worker)) else {
                 continue;
@@ -264,9 +286,11 @@
             let risk = run_us / want.left_us.max(1) as f64;
             let free = gate.load.free.cpu_milli.saturating_sub(gate.unseen_cpu()) as f64;
             let used = 1.0 - free / worker.capacity.cpu_milli.max(1) as f64;
-            let noise_us = self.rng.random::<f64>() * NOISE_US;
-            let fast_us = FAST_ROOM_US * (1.0 - gate.slowness()) * (1.0 - risk).max(0.0);
-            let score = wait_us + run_us * risk + used * used * CROWDING_US + fast_us + noise_us;
+            let noise_us = self.rng.random::<f64>() * NOISE * typical_us;
+            let fast_us = FAST_ROOM * typical_us * (1.0 - gate.slowness()) * (1.0 - risk).max(0.0);
+            let crowded_us = CROWDING * typical_us * used * used;
+            let missed_us = MISSED * typical_us * want.miss_chance(wait_us + run_us);
+            let score = wait_us + run_us * risk + crowded_us + fast_us + missed_us + noise_us;
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let choice = Choice {
                     gate: name.clone(),
--- a/tests/ephemeral_dispatcher.rs
+++ b/tests/ephemeral_dispatcher.rs
@@ -342,3 +342,17 @@
     }
     assert_eq!(bench.starts.len(), 61);
 }
+
+#[test]
+fn a_task_goes_to_a_fuller_worker_where_an_empty_one_is_too_slow_for_its_objective() {
+    let mut bench = Bench::new(2);
+    let slow = GateLoad {
+        slowness_percent: 250,
+        ..load(1_000, 0)
+    };
+    bench.load(1, slow);
+    bench.load(2, load(500, 0));
+    bench.submit(1, job(1, 1), 1);
+    let gates: Vec<SessionId> = bench.starts.iter().map(|start| start.0).collect();
+    assert_eq!(gates, [SessionId(2)]);
+}
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -26,6 +26,8 @@
     sent: u64,
     /// Whether the runs that are ordered may be moved.
     movable: bool,
+    /// Run time that is expected of them.
+    expected_us: u64,
 }
 
 fn resources(cpu_milli: u64) -> Resources {
@@ -88,6 +90,7 @@
             actions: Vec::new(),
             sent: 0,
             movable: true,
+            expected_us: 100 * MS,
         };
         bench.gate.worker_report(bench.now, report("w", false, 1));
         bench.collect();
@@ -155,7 +158,7 @@
             patience_us: patience_ms * MS,
             urgency,
             due_us: patience_ms * MS,
-            expected_us: 100 * MS,
+            expected_us: self.expected_us,
             movable: self.movable,
             number: self.sent,
         };
@@ -639,6 +642,24 @@
     assert_eq!(bench.ends(), [(run(1), RunEnd::Stalled)]);
 }
 
+/// Workers tell whole percents: a run of 10 s makes one in 100 ms, and one that was
+/// guessed too short in several times that.
+#[test]
+fn a_very_long_run_is_not_taken_for_standing_still_between_two_percents() {
+    let mut bench = Bench::ready();
+    bench.expected_us = 10_000 * MS;
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    for percent in 0..12 {
+        for _ in 0..5 {
+            bench.gate.heard(bench.now, ENTRY);
+            bench.pass(60);
+            bench.lists(vec![(run(1), percent)], Vec::new());
+        }
+    }
+    assert!(bench.stops().is_empty());
+}
+
 #[test]
 fn a_long_run_that_gets_on_is_left_alone() {
     let mut bench = Bench::ready();
