Send a lost order again to the same worker

Cause: with a fifth of the orders unanswered, 83% of jobs of eight tasks lose one or more. Each such start was barred, confirmed by a list and placed at another gate: 95 of 100 starts took 87 ms, the patience of a job of 60 ms tasks is 80 ms, and 340 of 1,054 of them were late. Now an unanswered start is sent again to the same worker, twice at most: the worker takes a second copy for the first, whichever comes, also seconds later. A second copy that is turned down does not say that the first never ran; the lists tell.

The test of unanswered starts now asks for three copies before the bar.

--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -90,7 +90,12 @@
         began: bool,
     },
     /// Ordered; no answer yet.
-    Starting,
+    Starting {
+        /// When the order was last sent.
+        asked_us: u64,
+        /// Times that it was sent again for want of an answer.
+        resent: u32,
+    },
     /// On the worker.
     Running,
     /// Being barred or stopped.
@@ -245,7 +250,7 @@
                 return;
             }
             RunState::Stopping { .. } => return,
-            RunState::Starting => false,
+            RunState::Starting { .. } => false,
             RunState::Claimed { began } => began,
             RunState::Running => true,
         };
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -15,6 +15,11 @@
 /// Wait of a hold for an end while something runs: a hold may be lost, and no end
 /// is seen until the next one.
 const BUSY_WAIT: Duration = Duration::from_millis(50);
+/// Times that a start without an answer is sent again, before the worker is asked to
+/// bar it and the run goes elsewhere. The worker takes a second copy of an order for
+/// the first, whichever comes, also seconds later; so a lost order costs its run one
+/// wait for an answer instead of three, and it keeps its place.
+const MOST_RESENT: u32 = 2;
 /// Wait of a hold while nothing runs.
 const IDLE_WAIT: Duration = Duration::from_millis(200);
 impl Gate {
@@ -31,19 +36,33 @@
             life.heard_clock(now, clock_ms);
         }
         self.note_answer(now, answer.is_ok());
-        let record = self.runs.get(&run);
-        let starting = record.is_some_and(|record| record.state == RunState::Starting);
-        if starting && let Some(record) = record {
-            match answer.is_ok() {
-                true => self
-                    .answers
-                    .learn(now.mono_us.saturating_sub(record.since_us)),
-                false => self.answers.missed(),
+        let state = self.runs.get(&run).map(|record| record.state);
+        let starting = matches!(state, Some(RunState::Starting { .. }));
+        let was_resent = matches!(state, Some(RunState::Starting { resent, .. }) if resent > 0);
+        if let Some(RunState::Starting { asked_us, resent }) = state {
+            match &answer {
+                Ok(_) => self.answers.learn(now.mono_us.saturating_sub(asked_us)),
+                Err(_) => self.answers.missed(),
+            }
+            let unanswered = matches!(answer, Err(OrderError::Unanswered));
+            let wanted = self.runs.get(&run).is_some_and(|record| {
+                // After standing still this gate may hear of answers first and of the
+                // time that has passed afterwards.
+                self.is_heard(now, &record.owner)
+            });
+            if unanswered && wanted && resent < MOST_RESENT && !self.is_mute(now) {
+                info!(self.log, "start sent again"; "run" => %run, "resent" => resent + 1);
+                self.send_start(now, run, resent + 1);
+                return;
             }
         }
         match answer.map(|answer| answer.reply) {
             Ok(StartReply::Running) if starting => self.began(run),
             Ok(StartReply::Running) => {}
+            // The first copy may have run, or still may: only the lists tell.
+            Ok(StartReply::Old | StartReply::Rejected) if was_resent => {
+                self.stop(now, run, StopCause::Unanswered);
+            }
             Ok(reply @ (StartReply::Old | StartReply::Rejected)) if starting => {
                 info!(self.log, "start rejected"; "run" => %run, "reply" => ?reply);
                 self.end(now, run, RunEnd::NotRun(NotRunReason::Rejected));
@@ -273,7 +292,7 @@
         for row in running {
             let state = self.runs.get_mut(&row.run).map(|record| &mut record.state);
             match state {
-                Some(RunState::Starting) => self.began(row.run),
+                Some(RunState::Starting { .. }) => self.began(row.run),
                 Some(RunState::Stopping { began, .. }) => *began = true,
                 _ => {}
             }
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -112,14 +112,22 @@
     }
 
     fn order(&mut self, now: Moment, run: RunId) {
+        if let Some(record) = self.runs.get(&run) {
+            let waited_us = now.mono_us.saturating_sub(record.since_us);
+            debug!(self.log, "run ordered"; "run" => %run, "waited_us" => waited_us,
+                "free_cpu_milli" => self.room.free().cpu_milli);
+        }
+        self.send_start(now, run, 0);
+    }
+
+    /// Orders a run from the worker, for the first time or again.
+    pub(super) fn send_start(&mut self, now: Moment, run: RunId, resent: u32) {
         let lease = self.limits.lease;
         let (Some(life), Some(record)) = (&mut self.life, self.runs.get_mut(&run)) else {
             return;
         };
-        let waited_us = now.mono_us.saturating_sub(record.since_us);
-        debug!(self.log, "run ordered"; "run" => %run, "waited_us" => waited_us,
-            "free_cpu_milli" => self.room.free().cpu_milli);
-        record.state = RunState::Starting;
+        let asked_us = now.mono_us;
+        record.state = RunState::Starting { asked_us, resent };
         record.since_us = now.mono_us;
         record.mark = Some(Mark::new(now.mono_us, 0));
         self.load_changed = true;
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -197,14 +197,20 @@
         }
     }
 
+    /// Whether an entry was heard within the silence limit.
+    pub(super) fn is_heard(&self, now: Moment, entry: &ProcessId) -> bool {
+        let silence_us = micros(self.limits.silence);
+        let owner = self.owners.get(entry);
+        owner.is_some_and(|owner| now.mono_us <= owner.heard_us + silence_us)
+    }
+
     /// Ends the runs of entries that have been silent for too long.
     pub(super) fn expire_owners(&mut self, now: Moment) {
-        let silence_us = micros(self.limits.silence);
         let silent: Vec<ProcessId> = self
             .owners
-            .iter()
-            .filter(|(_, owner)| now.mono_us > owner.heard_us + silence_us)
-            .map(|(entry, _)| entry.clone())
+            .keys()
+            .filter(|entry| !self.is_heard(now, entry))
+            .cloned()
             .collect();
         for entry in silent {
             self.expire(now, &entry, "silent");
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -313,18 +313,57 @@
     let mut bench = Bench::ready();
     bench.order(run(1), 600, 100);
     bench.order(run(2), 600, 400);
-    bench.started(run(1), Err(OrderError::Unanswered));
+    for _ in 0..3 {
+        assert!(bench.stops().is_empty());
+        bench.started(run(1), Err(OrderError::Unanswered));
+    }
     assert_eq!(bench.stops(), [run(1)]);
     bench.lists(Vec::new(), Vec::new());
-    assert_eq!(bench.ordered(), [run(1)], "not barred yet");
+    assert_eq!(bench.ordered(), [run(1); 3], "not barred yet");
     bench.pass(5);
     bench.stopped(run(1), Ok(()));
-    assert_eq!(bench.ordered(), [run(1)], "not listed since");
+    assert_eq!(bench.ordered(), [run(1); 3], "not listed since");
     bench.pass(5);
     bench.lists(Vec::new(), Vec::new());
     let end = RunEnd::NotRun(NotRunReason::Unanswered);
     assert_eq!(bench.ends(), [(run(1), end)]);
-    assert_eq!(bench.ordered(), [run(1), run(2)]);
+    assert_eq!(bench.ordered(), [run(1), run(1), run(1), run(2)]);
+}
+
+#[test]
+fn a_lost_order_is_sent_again_to_the_same_worker() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Err(OrderError::Unanswered));
+    assert_eq!(bench.ordered(), [run(1), run(1)]);
+    bench.started(run(1), Ok(StartReply::Running));
+    assert!(bench.stops().is_empty());
+    bench.lists(Vec::new(), vec![(1, run(1), WorkerEnd::Done)]);
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Done)]);
+}
+
+/// Seed 615 of `ephemeral_safety`: a gate that had been frozen heard of the missing
+/// answer before it noticed that the entry was given up, and ordered the run anew.
+#[test]
+fn a_gate_that_stood_still_does_not_send_an_order_again() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.now.mono_us += 2_000 * MS;
+    bench.started(run(1), Err(OrderError::Unanswered));
+    assert_eq!(bench.ordered(), [run(1)]);
+}
+
+/// The first copy of an order may have run and ended while its answer was lost; the
+/// second is turned down then, which must not count as not run.
+#[test]
+fn a_second_copy_that_is_turned_down_does_not_say_that_the_first_never_ran() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Err(OrderError::Unanswered));
+    bench.started(run(1), Ok(StartReply::Old));
+    assert!(bench.ends().is_empty());
+    bench.lists(Vec::new(), vec![(1, run(1), WorkerEnd::Done)]);
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Done)]);
 }
 
 #[test]
