--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -20,7 +20,7 @@
 /// When a caller should come back that no worker could be found for.
 const COME_BACK_LATER_MS: u64 = 1_000;
 /// Weight of the caller's own estimate against the mean of past runs; estimates
-/// of the sites are off by 40%, run times vary by 40%.
+/// are often off by 40%, run times vary by 40%.
 const ESTIMATE_WEIGHT: f64 = 0.5;
 /// Part of a job's patience that the wait expected at admission may take, at the
 /// most urgent priority; the rest is for estimates that are off.
--- a/src/ephemeral/dispatcher/caller_waits.rs
+++ b/src/ephemeral/dispatcher/caller_waits.rs
@@ -8,8 +8,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Part of the usual wait below which a job was sent before. The sites' callers
-/// wait for 2 to 7 s and send again after 1.3 s; waits of one route vary by a
+/// Part of the usual wait below which a job was sent before. Callers wait for 2 to 7 s and send again after 1.3 s; waits of one route vary by a
 /// tenth, those of the longest tasks by a third.
 const SENT_BEFORE_BELOW: f64 = 0.7;
 /// Weight of a new wait in the usual one.
--- a/src/ephemeral/entry/handle.rs
+++ b/src/ephemeral/entry/handle.rs
@@ -18,8 +18,8 @@
 use crate::time::{Timer, micros};
 
 /// Longest wait of a caller for the first configuration: it is there 15 ms after
-/// the start, and a refusal counts as late after a quarter of the sites' shortest
-/// objective (156 ms).
+/// the start, and a refusal counts as late after a quarter of the job's
+/// objective, which is not known before; most are above 150 ms.
 const FIRST_TABLE: Duration = Duration::from_millis(35);
 
 /// A job on its way to the dispatcher.
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -10,7 +10,7 @@
 use crate::ephemeral::session::SessionId;
 use crate::time::{Moment, micros};
 
-/// Least time between two broadcasts of the load, in microseconds; at the sites'
+/// Least time between two broadcasts of the load, in microseconds; at
 /// 45 starts a second a gate would else send three frames a start.
 const LOAD_PACE_US: u64 = 10_000;
 
--- /dev/null
+++ b/tests/ephemeral_worker_life.rs
@@ -0,0 +1,172 @@
+//! Lives of the worker behind a gate: found, superseded, mute, leaving, gone.
+
+mod gate_bench;
+
+use gate_bench::*;
+use winghold::ephemeral::gate::GateAction;
+use winghold::ephemeral::message::{NotRunReason, RunEnd};
+use winghold::ephemeral::worker::{OrderError, StartReply, WorkerEnd};
+
+#[test]
+fn a_mute_worker_gets_no_orders_and_its_runs_end_with_their_lease() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 100, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.order(run(2), 100, 100);
+    bench.pass(130);
+    bench.started(run(2), Err(OrderError::Unanswered));
+    bench.stopped(run(2), Err(OrderError::Unanswered));
+    bench.stopped(run(2), Err(OrderError::Unanswered));
+    bench.order(run(3), 100, 100);
+    let end = RunEnd::NotRun(NotRunReason::NoWorker);
+    assert_eq!(bench.ends(), [(run(3), end)]);
+    for _ in 0..8 {
+        bench.gate.heard(bench.now, ENTRY);
+        bench.pass(100);
+    }
+    let stopped = (run(1), RunEnd::Stopped);
+    assert!(bench.ends().contains(&stopped), "{:?}", bench.ends());
+}
+
+#[test]
+fn a_leaving_worker_gets_nothing_and_finishes_what_it_has() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.order(run(2), 600, 100);
+    bench.gate.worker_report(bench.now, report("w", true, 2));
+    bench.collect();
+    bench.order(run(3), 100, 100);
+    let leaving = RunEnd::NotRun(NotRunReason::Leaving);
+    assert_eq!(bench.ends(), [(run(2), leaving), (run(3), leaving)]);
+    assert!(bench.stops().is_empty());
+    bench.lists(Vec::new(), vec![(1, run(1), WorkerEnd::Done)]);
+    assert!(bench.ends().contains(&(run(1), RunEnd::Done)));
+}
+
+#[test]
+fn a_report_that_was_overtaken_changes_nothing() {
+    let mut bench = Bench::ready();
+    bench.gate.worker_report(bench.now, report("w", false, 5));
+    bench.gate.worker_report(bench.now, report("w", true, 3));
+    bench.order(run(1), 100, 100);
+    assert_eq!(bench.ordered(), [run(1)]);
+}
+
+#[test]
+fn what_ran_on_an_earlier_life_of_the_worker_is_over() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.gate.worker_report(bench.now, report("w2", false, 1));
+    bench.collect();
+    assert!(bench.ends().is_empty(), "the report may be an old one");
+    bench.another_life_answers();
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+    assert_eq!(bench.worker(), "w2");
+}
+
+/// A report that was held up on its way told of a life that had crashed before the
+/// present one began: the gate followed it, took the present runs as stopped and
+/// gave their room again.
+#[test]
+fn a_late_report_of_an_earlier_life_changes_nothing_while_the_present_one_answers() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.gate.worker_report(bench.now, report("w0", false, 9));
+    bench.collect();
+    bench.pass(5);
+    bench.lists(vec![(run(1), 50)], Vec::new());
+    bench.order(run(2), 600, 100);
+    assert!(bench.ends().is_empty());
+    assert_eq!(bench.ordered(), [run(1)], "the room is still taken");
+    assert_eq!(bench.worker(), "w");
+    bench.another_life_answers();
+    assert_eq!(
+        bench.last_load().worker,
+        None,
+        "nothing is left of the report"
+    );
+}
+
+#[test]
+fn a_life_that_was_superseded_does_not_come_back() {
+    let mut bench = Bench::ready();
+    bench.gate.worker_report(bench.now, report("w2", false, 1));
+    bench.another_life_answers();
+    assert_eq!(bench.worker(), "w2");
+    bench.gate.worker_report(bench.now, report("w", false, 50));
+    bench.another_life_answers();
+    bench.gate.worker_report(bench.now, report("w", false, 51));
+    bench.pass(20);
+    assert_eq!(bench.last_load().worker, None);
+}
+
+/// An order to the earlier life may be answered after its successor was followed.
+#[test]
+fn a_late_answer_to_an_order_for_the_earlier_life_does_not_end_the_present_one() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.order(run(2), 200, 100);
+    bench.gate.worker_report(bench.now, report("w2", false, 1));
+    bench.another_life_answers();
+    bench.started(run(1), Ok(StartReply::OtherLife));
+    bench.stopped(run(2), Err(OrderError::OtherLife));
+    bench.pass(20);
+    let worker = bench.last_load().worker.map(|worker| worker.id.clone());
+    assert_eq!(worker.as_deref(), Some("w2"));
+}
+
+#[test]
+fn an_order_that_another_life_answers_makes_the_gate_ask_for_the_present_one() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.actions.clear();
+    bench.started(run(1), Ok(StartReply::OtherLife));
+    let asked = bench.actions.iter().any(|action| match action {
+        GateAction::Hold(call) => call.check && call.worker.as_deref() == Some("w"),
+        _ => false,
+    });
+    assert!(asked);
+    bench.another_life_answers();
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+}
+
+#[test]
+fn a_life_that_said_goodbye_does_not_come_back() {
+    let mut bench = Bench::ready();
+    bench.gate.worker_left(bench.now, "w");
+    bench.gate.worker_report(bench.now, report("w", false, 50));
+    bench.pass(20);
+    assert_eq!(bench.last_load().worker, None);
+}
+
+#[test]
+fn a_recalled_life_gives_way_to_the_one_that_reports() {
+    let mut bench = Bench::unlisted();
+    bench.gate.worker_report(bench.now, report("w2", false, 1));
+    bench.another_life_answers();
+    assert_eq!(bench.worker(), "w2");
+}
+
+#[test]
+fn a_mute_life_gives_way_once_nothing_can_run_on_it_any_more() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.pass(130);
+    for _ in 0..3 {
+        bench.stopped(run(9), Err(OrderError::Unanswered));
+    }
+    bench.gate.worker_report(bench.now, report("w2", false, 1));
+    bench.pass(100);
+    assert_eq!(bench.worker(), "w");
+    assert!(bench.ends().is_empty());
+    for _ in 0..8 {
+        bench.gate.heard(bench.now, ENTRY);
+        bench.pass(100);
+    }
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+    assert_eq!(bench.worker(), "w2");
+}
--- /dev/null
+++ b/tests/gate_bench/mod.rs
@@ -0,0 +1,278 @@
+//! A gate with a fake worker and a fake entry, one decision at a time.
+
+#![allow(dead_code)]
+
+use winghold::ephemeral::gate::{Gate, GateAction};
+use winghold::ephemeral::job::{JobId, Resources, RunId, Urgency};
+use winghold::ephemeral::limits::Limits;
+use winghold::ephemeral::message::{
+    GateLoad, OpenRun, ProcessId, RunEnd, StartOrder, ToEntry, ToGate,
+};
+use winghold::ephemeral::session::SessionId;
+use winghold::ephemeral::worker::{
+    EndedRow, HoldCall, HoldReply, OrderError, RunningRow, StartAnswer, StartReply, WorkerEnd,
+    WorkerReport,
+};
+use winghold::logging;
+use winghold::time::Moment;
+
+pub const ENTRY: SessionId = SessionId(1);
+pub const MS: u64 = 1_000;
+/// Token that the gate chooses on the worker's clock of 5,000 ms.
+pub const FENCE: u64 = 5_001;
+
+pub struct Bench {
+    pub gate: Gate,
+    pub now: Moment,
+    pub actions: Vec<GateAction>,
+    pub sent: u64,
+    /// Whether the runs that are ordered may be moved.
+    pub movable: bool,
+    /// Run time that is expected of them.
+    pub expected_us: u64,
+}
+
+pub fn resources(cpu_milli: u64) -> Resources {
+    Resources {
+        cpu_milli,
+        memory_mb: 10,
+        accelerators: 0,
+    }
+}
+
+pub fn process(name: &str, incarnation: u64) -> ProcessId {
+    ProcessId {
+        name: name.into(),
+        incarnation,
+    }
+}
+
+pub fn run(job: u64) -> RunId {
+    RunId {
+        job: JobId(job),
+        index: 0,
+        run: 1,
+    }
+}
+
+pub fn report(id: &str, leaving: bool, sequence: u64) -> WorkerReport {
+    WorkerReport {
+        id: id.to_string(),
+        service: "s".into(),
+        addr: "10.0.0.1:80".into(),
+        leaving,
+        leaves_in_ms: None,
+        capacity: Resources {
+            cpu_milli: 1_000,
+            memory_mb: 1_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        clock_ms: 5_000,
+        sequence,
+    }
+}
+
+impl Bench {
+    /// A gate whose worker was found, without its lists yet.
+    pub fn unlisted() -> Bench {
+        let limits = Limits::new(
+            std::time::Duration::from_millis(1_300),
+            std::time::Duration::from_secs(1),
+            std::time::Duration::from_millis(50),
+        );
+        let gate = Gate::new(process("g", 1), limits, logging::discard());
+        let now = Moment {
+            mono_us: 1_000_000,
+            wall_ms: 0,
+        };
+        let mut bench = Bench {
+            gate,
+            now,
+            actions: Vec::new(),
+            sent: 0,
+            movable: true,
+            expected_us: 100 * MS,
+        };
+        bench.gate.worker_report(bench.now, report("w", false, 1));
+        bench.collect();
+        bench.answer_first_hold();
+        bench
+    }
+
+    /// The worker answers the hold that asks for its clock only.
+    pub fn answer_first_hold(&mut self) {
+        let holds = self.actions.iter().find_map(|action| match action {
+            GateAction::Hold(call) => Some(call.clone()),
+            _ => None,
+        });
+        let call = holds.expect("a hold");
+        assert_eq!(call.fence, None);
+        let reply = HoldReply {
+            clock_ms: FENCE - 1,
+            ..HoldReply::default()
+        };
+        let sent = self.now;
+        self.gate.hold_answered(self.now, sent, &call, Ok(reply));
+        self.collect();
+    }
+
+    /// A gate with an empty worker and a connected entry.
+    pub fn ready() -> Bench {
+        let mut bench = Bench::unlisted();
+        bench.lists(Vec::new(), Vec::new());
+        bench.hello(Vec::new());
+        bench.actions.clear();
+        bench
+    }
+
+    pub fn hello(&mut self, open: Vec<OpenRun>) {
+        let hello = ToGate::Hello {
+            entry: process("e", 1),
+            config: 0,
+            open,
+        };
+        self.gate.message(self.now, ENTRY, hello);
+        self.collect();
+    }
+
+    pub fn collect(&mut self) {
+        let actions = self.gate.take_actions(self.now);
+        self.actions.extend(actions);
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.now.mono_us += ms * MS;
+        self.gate.tick(self.now);
+        self.collect();
+    }
+
+    pub fn order(&mut self, run: RunId, cpu_milli: u64, patience_ms: u64) {
+        self.order_as(Urgency::Normal, run, cpu_milli, patience_ms);
+    }
+
+    pub fn order_as(&mut self, urgency: Urgency, run: RunId, cpu_milli: u64, patience_ms: u64) {
+        self.sent += 1;
+        let order = StartOrder {
+            run,
+            payload: "p".into(),
+            needs: resources(cpu_milli),
+            patience_us: patience_ms * MS,
+            urgency,
+            due_us: patience_ms * MS,
+            expected_us: self.expected_us,
+            movable: self.movable,
+            number: self.sent,
+        };
+        let message = ToGate::Start(Box::new(order));
+        self.gate.message(self.now, ENTRY, message);
+        self.gate.heard(self.now, ENTRY);
+        self.collect();
+    }
+
+    pub fn started(&mut self, run: RunId, answer: Result<StartReply, OrderError>) {
+        let answer = answer.map(|reply| StartAnswer {
+            reply,
+            clock_ms: Some(5_100),
+        });
+        self.gate.start_answered(self.now, run, answer);
+        self.collect();
+    }
+
+    pub fn stopped(&mut self, run: RunId, answer: Result<(), OrderError>) {
+        self.gate.stop_answered(self.now, run, answer);
+        self.collect();
+    }
+
+    /// The worker lists what runs and what ended.
+    pub fn lists(&mut self, running: Vec<(RunId, u32)>, ended: Vec<(u64, RunId, WorkerEnd)>) {
+        let call = HoldCall {
+            worker: Some("w".into()),
+            fence: Some(FENCE),
+            lease_until_ms: None,
+            acked_end: 0,
+            wait_ms: 200,
+            limit: std::time::Duration::from_millis(25),
+            check: false,
+        };
+        let running = running
+            .into_iter()
+            .map(|(run, percent)| RunningRow { run, percent });
+        let ended = ended
+            .into_iter()
+            .map(|(number, run, end)| EndedRow { number, run, end });
+        let reply = HoldReply {
+            clock_ms: 5_000,
+            fenced: false,
+            running: running.collect(),
+            ended: ended.collect(),
+        };
+        let sent = self.now;
+        self.gate.hold_answered(self.now, sent, &call, Ok(reply));
+        self.collect();
+    }
+
+    /// The worker says that the life that the gate means is not there.
+    pub fn another_life_answers(&mut self) {
+        let call = HoldCall {
+            worker: Some(self.worker().into()),
+            fence: None,
+            lease_until_ms: None,
+            acked_end: 0,
+            wait_ms: 0,
+            limit: std::time::Duration::from_millis(25),
+            check: true,
+        };
+        let answer = Err(OrderError::OtherLife);
+        let sent = self.now;
+        self.gate.hold_answered(self.now, sent, &call, answer);
+        self.pass(20);
+    }
+
+    /// Id of the worker that orders go to.
+    pub fn worker(&self) -> String {
+        let aims = self.actions.iter().filter_map(|action| match action {
+            GateAction::Aim(worker) => Some(worker.traits.id.clone()),
+            _ => None,
+        });
+        aims.last().unwrap_or_else(|| "w".to_string())
+    }
+
+    pub fn ordered(&self) -> Vec<RunId> {
+        let starts = self.actions.iter().filter_map(|action| match action {
+            GateAction::Start(call) => Some(call.run),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    pub fn stops(&self) -> Vec<RunId> {
+        let stops = self.actions.iter().filter_map(|action| match action {
+            GateAction::Stop(call) => Some(call.run),
+            _ => None,
+        });
+        stops.collect()
+    }
+
+    pub fn last_load(&self) -> GateLoad {
+        let loads = self.actions.iter().filter_map(|action| match action {
+            GateAction::Send {
+                message: ToEntry::Load(load),
+                ..
+            } => Some(load.clone()),
+            _ => None,
+        });
+        loads.last().expect("a load")
+    }
+
+    pub fn ends(&self) -> Vec<(RunId, RunEnd)> {
+        let ends = self.actions.iter().filter_map(|action| match action {
+            GateAction::Send {
+                message: ToEntry::Ended { run, end, .. },
+                ..
+            } => Some((*run, *end)),
+            _ => None,
+        });
+        ends.collect()
+    }
+}
