Part following the store from publishing into it

Cause: directory.rs held both, and every figure about reads of the store belongs to the follower. Ruled out: nothing, no behaviour changes. Change: a module with the follower, its test file named after it. Before and after: the four tests of following and the two of the first configuration pass. Conclusion: figures of reads can be added in one place.

--- a/src/ephemeral/directory.rs
+++ b/src/ephemeral/directory.rs
@@ -11,12 +11,11 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use slog::{Logger, debug, info, warn};
+use slog::{Logger, info};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
-use crate::ephemeral::backoff::Backoff;
+use crate::ephemeral::follower::{Follower, Reachable};
 use crate::ephemeral::message::{ProcessId, WorkerTraits};
 use crate::store::{Expect, LeaseId, Store, StoreEntry, StoreError, StoreReply, StoreRequest};
 use crate::time::Timer;
@@ -29,11 +28,6 @@
 /// Pause between two renewals, each with a look at the record; a record that
 /// lapsed is back within it.
 const RENEWAL: Duration = Duration::from_millis(1_500);
-/// Wait of a watch for a change. A store that falls silent may leave it without an
-/// answer; with the time limit of the call it is begun anew 2.1 s after the store's
-/// return at the latest, because 3 s after it the configuration in force must be
-/// the newest one (the platform's `contact_ms`; `config_ms` does not add to it).
-const WATCH: Duration = Duration::from_millis(1_500);
 /// Pause after a record could not be kept; eleven gates then make less than
 /// sixty calls a second in an outage.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -65,27 +59,6 @@
     }
 }
 
-/// Notes once when a dependency is lost, and once when it is back.
-struct Reachable<'a> {
-    log: &'a Logger,
-    what: &'static str,
-    up: bool,
-}
-
-impl Reachable<'_> {
-    fn note<T>(&mut self, result: &Result<T, StoreError>) {
-        let up = result.is_ok();
-        if up == self.up {
-            return;
-        }
-        self.up = up;
-        match result {
-            Ok(_) => info!(self.log, "store regained"; "for" => self.what),
-            Err(err) => warn!(self.log, "store lost"; "for" => self.what, "error" => %err),
-        }
-    }
-}
-
 /// Keeps the record of a gate in the store, with its newest worker, for as long
 /// as it is polled.
 pub async fn publish(
@@ -95,11 +68,7 @@
     mut worker: watch::Receiver<Option<WorkerRecord>>,
     log: Logger,
 ) {
-    let mut reachable = Reachable {
-        log: &log,
-        what: "record",
-        up: true,
-    };
+    let mut reachable = Reachable::new("record", log.clone());
     let mut lease = None;
     loop {
         record.worker = worker.borrow_and_update().clone();
@@ -183,92 +152,12 @@
     serde_json::to_vec(record).map_or_else(|_| Bytes::new(), Bytes::from)
 }
 
-/// Reads the entries under a prefix, for as long as it takes.
-///
-/// A call that has no answer yet does not hold up the next one: the first call
-/// of a process often meets the store's return from an outage, and an answer
-/// that is lost costs its whole time limit.
-async fn read_anew(
-    store: &Arc<dyn Store>,
-    timer: &Timer,
-    prefix: &str,
-    reachable: &mut Reachable<'_>,
-) -> (u64, Vec<StoreEntry>) {
-    let mut calls = JoinSet::new();
-    let mut backoff = Backoff::default();
-    loop {
-        let (store, prefix) = (store.clone(), prefix.to_string());
-        calls.spawn(async move { store.call(StoreRequest::Get { prefix }).await });
-        let pause = timer.sleep(backoff.pause());
-        tokio::pin!(pause);
-        loop {
-            let reply = tokio::select! {
-                Some(Ok(reply)) = calls.join_next() => reply,
-                () = &mut pause => break,
-            };
-            reachable.note(&reply);
-            if let Ok(StoreReply::Entries { revision, entries }) = reply {
-                return (revision, entries);
-            }
-        }
-        backoff.grow();
-    }
-}
-
-/// Entries under a prefix, read anew whenever one of them changes.
-pub async fn follow(
-    store: Arc<dyn Store>,
-    timer: Timer,
-    prefix: &str,
-    what: &'static str,
-    log: Logger,
-    tell: impl Fn(Vec<StoreEntry>) -> bool,
-) {
-    let mut reachable = Reachable {
-        log: &log,
-        what,
-        up: true,
-    };
-    let mut backoff = Backoff::default();
-    loop {
-        let (mut known, entries) = read_anew(&store, &timer, prefix, &mut reachable).await;
-        if !tell(entries) {
-            return;
-        }
-        loop {
-            let watch = StoreRequest::Watch {
-                prefix: prefix.to_string(),
-                after: known,
-                wait_ms: WATCH.as_millis() as u64,
-            };
-            let reply = store.call(watch).await;
-            reachable.note(&reply);
-            let Ok(StoreReply::Entries { revision, entries }) = reply else {
-                debug!(log, "watch begins anew"; "for" => what, "reply" => ?reply);
-                break;
-            };
-            backoff = Backoff::default();
-            if revision != known && !tell(entries) {
-                return;
-            }
-            known = revision;
-        }
-        timer.sleep(backoff.pause()).await;
-        backoff.grow();
-    }
-}
-
 /// Follows the records of gates.
-pub async fn follow_gates(
-    store: Arc<dyn Store>,
-    timer: Timer,
-    log: Logger,
-    records: UnboundedSender<Vec<GateRecord>>,
-) {
+pub async fn follow_gates(follower: Follower, records: UnboundedSender<Vec<GateRecord>>) {
     let tell = |entries: Vec<StoreEntry>| {
         let parse = |entry: &StoreEntry| serde_json::from_slice(&entry.value).ok();
         let found: Vec<GateRecord> = entries.iter().filter_map(parse).collect();
         records.send(found).is_ok()
     };
-    follow(store, timer, GATE_PREFIX, "gates", log.clone(), tell).await;
+    follower.follow(GATE_PREFIX, "gates", tell).await;
 }
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::ephemeral::directory::{self, GateRecord};
 use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
+use crate::ephemeral::follower::Follower;
 use crate::ephemeral::job::JobId;
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{ConfigDocument, ProcessId, ToEntry, ToGate};
@@ -140,19 +141,22 @@
     }
 
     fn follow_store(&self) {
-        let (records_tx, mut records) = unbounded_channel();
         let parts = &self.parts;
-        let (store, timer) = (parts.store.clone(), parts.timer.clone());
-        let log = parts.log.clone();
-        tokio::spawn(directory::follow_gates(store, timer, log, records_tx));
+        let follower = Follower {
+            store: parts.store.clone(),
+            timer: parts.timer.clone(),
+            metrics: parts.metrics.clone(),
+            log: parts.log.clone(),
+        };
+        let (records_tx, mut records) = unbounded_channel();
+        tokio::spawn(directory::follow_gates(follower.clone(), records_tx));
         let tx = self.tx.clone();
         tokio::spawn(async move {
             while let Some(found) = records.recv().await {
                 let _ = tx.send(Event::Gates(found));
             }
         });
-        let (store, timer) = (parts.store.clone(), parts.timer.clone());
-        let (log, key) = (parts.log.clone(), parts.config_key.clone());
+        let (key, log) = (parts.config_key.clone(), parts.log.clone());
         let (reader, tx) = (parts.reader.clone(), self.tx.clone());
         tokio::spawn(async move {
             let tell = |entries: Vec<StoreEntry>| {
@@ -160,7 +164,7 @@
                 let document = found.and_then(|entry| document(&*reader, entry.value, &log));
                 document.is_none_or(|document| tx.send(Event::Config(document)).is_ok())
             };
-            directory::follow(store, timer, &key, "configuration", log.clone(), tell).await;
+            follower.follow(&key, "configuration", tell).await;
         });
     }
 
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -13,7 +13,8 @@
 //! - [`message`], [`session`]: what entries and gates say, and how it travels;
 //!   [`suspension`]: what a process does that stood still.
 //! - [`directory`]: how processes find one another through the store;
-//!   [`backoff`]: how often what is away is tried.
+//!   [`follower`]: keys of the store, followed; [`backoff`]: how often what is
+//!   away is tried.
 //! - [`entry`], [`agent`]: the loops around the decisions.
 
 pub mod agent;
@@ -22,6 +23,7 @@
 pub mod directory;
 pub mod dispatcher;
 pub mod entry;
+pub mod follower;
 pub mod gate;
 pub mod job;
 pub mod limits;
--- a/tests/ephemeral_directory.rs
+++ b/tests/ephemeral_follower.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc::unbounded_channel;
-use winghold::ephemeral::directory::follow;
+use winghold::ephemeral::follower::Follower;
 use winghold::logging;
+use winghold::metrics::Metrics;
 use winghold::store::{Store, StoreEntry, StoreError, StoreFuture, StoreReply, StoreRequest};
 use winghold::time::Timer;
 
@@ -68,10 +69,14 @@
 /// Follows the store for `span`; returns how often entries were told.
 async fn told_within(store: Arc<FakeStore>, span: Duration) -> usize {
     let (tx, mut rx) = unbounded_channel();
-    let log = logging::discard();
+    let follower = Follower {
+        store,
+        timer: Timer::coarse(),
+        metrics: Metrics::none(),
+        log: logging::discard(),
+    };
     let tell = move |entries: Vec<StoreEntry>| tx.send(entries).is_ok();
-    let following = follow(store, Timer::coarse(), "k", "test", log, tell);
-    let _ = tokio::time::timeout(span, following).await;
+    let _ = tokio::time::timeout(span, follower.follow("k", "test", tell)).await;
     let mut told = 0;
     while rx.try_recv().is_ok() {
         told += 1;
