Figures of configurations on sessions, of ended sessions and of reads

Cause: of an incident the logs of the moment were gone and no figure told of which messages an entry's bytes consist, which version is in force, why sessions end, or whether reads of the store end in time. Ruled out: log lines, which the churn of sessions pushes out. Change: gauges of version and size, counters of documents sent and of ended sessions by cause, times and failures of reads by what is read. No logic changes.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -13,7 +13,7 @@
 use crate::ephemeral::job::RunId;
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{ProcessId, ToEntry, ToGate};
-use crate::ephemeral::session::{SessionEvent, SessionId, Sessions};
+use crate::ephemeral::session::{SessionEvent, SessionId, SessionLoss, Sessions};
 use crate::ephemeral::suspension::Suspension;
 use crate::ephemeral::worker::{
     HoldCall, HoldReply, OrderError, OrderedWorker, StartAnswer, WorkerReport,
@@ -159,7 +159,7 @@
                 if age_us > micros(self.parts.limits.frame_age) {
                     warn!(self.parts.log, "frame came late"; "session" => session.0,
                         "age_us" => age_us);
-                    self.lose(session);
+                    self.lose(session, SessionLoss::LateFrame);
                     return;
                 }
                 if !self.sessions.is_open(session) {
@@ -170,7 +170,9 @@
                 }
                 self.gate.heard(now, session);
             }
-            Event::Session(SessionEvent::Closed(session)) => self.lose(session),
+            Event::Session(SessionEvent::Closed(session)) => {
+                self.lose(session, SessionLoss::Closed);
+            }
             Event::Report(report) => self.gate.worker_report(now, *report),
             Event::Recalled(worker) => self.gate.recall_worker(now, &worker),
             Event::Left(id) => self.gate.worker_left(now, &id),
@@ -194,7 +196,8 @@
         });
     }
 
-    fn lose(&mut self, session: SessionId) {
+    fn lose(&mut self, session: SessionId, cause: SessionLoss) {
+        cause.count(&self.parts.metrics);
         self.sessions.close(session);
         self.gate.session_closed(session);
     }
@@ -205,14 +208,19 @@
         }
         for session in self.sessions.flush() {
             warn!(self.parts.log, "entry does not keep up"; "session" => session.0);
-            self.lose(session);
+            self.lose(session, SessionLoss::Stuck);
         }
     }
 
     fn count(&self, message: &ToEntry) {
-        if let ToEntry::Ended { end, run_us, .. } = message {
-            self.parts.metrics.count(&format!("runs.{}", end.name()), 1);
-            self.parts.metrics.time("run_ms", run_us / 1_000);
+        let metrics = &self.parts.metrics;
+        match message {
+            ToEntry::Ended { end, run_us, .. } => {
+                metrics.count(&format!("runs.{}", end.name()), 1);
+                metrics.time("run_ms", run_us / 1_000);
+            }
+            ToEntry::Config(document) => document.count_sent(metrics),
+            _ => {}
         }
     }
 
@@ -223,7 +231,7 @@
                 self.count(&message);
                 self.sessions.send(session, message);
             }
-            GateAction::Close(session) => self.lose(session),
+            GateAction::Close(session) => self.lose(session, SessionLoss::GivenUp),
             GateAction::Aim(worker) => self.aim(worker),
             GateAction::Start(call) => {
                 let run = call.run;
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -19,7 +19,7 @@
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{ConfigDocument, ProcessId, ToEntry, ToGate};
 use crate::ephemeral::routes::RouteTable;
-use crate::ephemeral::session::{SessionEvent, SessionId, Sessions, dial};
+use crate::ephemeral::session::{SessionEvent, SessionId, SessionLoss, Sessions, dial};
 use crate::ephemeral::suspension::Suspension;
 use crate::error::Result;
 use crate::message::Answer;
@@ -186,7 +186,7 @@
                 if age_us > micros(self.parts.limits.frame_age) {
                     warn!(self.parts.log, "frame came late"; "session" => session.0,
                         "age_us" => age_us);
-                    self.lose(session);
+                    self.lose(session, SessionLoss::LateFrame);
                     return;
                 }
                 self.dispatcher.heard(now, session);
@@ -194,7 +194,9 @@
                     self.dispatcher.message(now, session, message);
                 }
             }
-            Event::Session(SessionEvent::Closed(session)) => self.lose(session),
+            Event::Session(SessionEvent::Closed(session)) => {
+                self.lose(session, SessionLoss::Closed);
+            }
             Event::Dialed(name, stream) => self.dialed(now, &name, stream),
             Event::Gates(records) => self.dials.know(now, records),
             Event::Config(document) => self.learn(document, "store"),
@@ -216,7 +218,8 @@
             .submit(now, submit.waiter, spec, route, submit.wait_us);
     }
 
-    fn lose(&mut self, session: SessionId) {
+    fn lose(&mut self, session: SessionId, cause: SessionLoss) {
+        cause.count(&self.parts.metrics);
         self.sessions.close(session);
         self.dispatcher.disconnected(session);
         self.dials.lost(session);
@@ -254,6 +257,10 @@
             Ok(table) => {
                 info!(self.parts.log, "configuration in force"; "version" => table.version,
                     "before" => before, "routes" => table.routes.len(), "from" => from);
+                self.parts.metrics.gauge("config_version", table.version);
+                self.parts
+                    .metrics
+                    .gauge("config_bytes", document.text.len() as u64);
                 self.table.send_replace(Arc::new(table));
                 self.dispatcher.config_in_force(document);
             }
@@ -277,8 +284,13 @@
     fn act(&mut self, now: Moment) {
         for action in self.dispatcher.take_actions(now) {
             match action {
-                DispatchAction::Send { session, message } => self.sessions.send(session, message),
-                DispatchAction::Close(session) => self.lose(session),
+                DispatchAction::Send { session, message } => {
+                    if let ToGate::Config(document) = &message {
+                        document.count_sent(&self.parts.metrics);
+                    }
+                    self.sessions.send(session, message);
+                }
+                DispatchAction::Close(session) => self.lose(session, SessionLoss::GivenUp),
                 DispatchAction::Redial(gate) => self.dials.doubt(&gate),
                 DispatchAction::Reply { waiter, answer } => {
                     if let Some(reply) = self.replies.remove(&waiter) {
@@ -290,7 +302,7 @@
         }
         for session in self.sessions.flush() {
             warn!(self.parts.log, "gate does not keep up"; "session" => session.0);
-            self.lose(session);
+            self.lose(session, SessionLoss::Stuck);
         }
         let (gates, jobs) = (self.dispatcher.open_gates(), self.dispatcher.open_jobs());
         let mut view = self.view();
--- a/src/ephemeral/follower.rs
+++ b/src/ephemeral/follower.rs
@@ -9,7 +9,7 @@
 use crate::ephemeral::backoff::Backoff;
 use crate::metrics::Metrics;
 use crate::store::{Store, StoreEntry, StoreError, StoreReply, StoreRequest};
-use crate::time::Timer;
+use crate::time::{Moment, Timer};
 
 /// Wait of a watch for a change. A store that falls silent may leave it without an
 /// answer; with the time limit of the call it is begun anew 2.1 s after the store's
@@ -81,6 +81,9 @@
                 };
                 let reply = self.store.call(watch).await;
                 reachable.note(&reply);
+                if reply.is_err() {
+                    self.metrics.count(&format!("store_unanswered.{what}"), 1);
+                }
                 let Ok(StoreReply::Entries { revision, entries }) = reply else {
                     debug!(self.log, "watch begins anew"; "for" => what, "reply" => ?reply);
                     break;
@@ -106,15 +109,17 @@
         let mut backoff = Backoff::default();
         loop {
             let (store, prefix) = (self.store.clone(), prefix.to_string());
-            calls.spawn(async move { store.call(StoreRequest::Get { prefix }).await });
+            let asked = self.timer.now();
+            calls.spawn(async move { (asked, store.call(StoreRequest::Get { prefix }).await) });
             let pause = self.timer.sleep(backoff.pause());
             tokio::pin!(pause);
             loop {
-                let reply = tokio::select! {
-                    Some(Ok(reply)) = calls.join_next() => reply,
+                let (asked, reply) = tokio::select! {
+                    Some(Ok(answered)) = calls.join_next() => answered,
                     () = &mut pause => break,
                 };
                 reachable.note(&reply);
+                self.note_read(reachable.what, asked, &reply);
                 if let Ok(StoreReply::Entries { revision, entries }) = reply {
                     return (revision, entries);
                 }
@@ -122,4 +127,14 @@
             backoff.grow();
         }
     }
+
+    fn note_read(&self, what: &'static str, asked: Moment, reply: &Result<StoreReply, StoreError>) {
+        if reply.is_err() {
+            self.metrics.count(&format!("store_unanswered.{what}"), 1);
+            return;
+        }
+        let took_us = self.timer.now().mono_us - asked.mono_us;
+        self.metrics
+            .time(&format!("store_read_ms.{what}"), took_us / 1_000);
+    }
 }
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ephemeral::job::{Resources, RunId, Urgency};
+use crate::metrics::Metrics;
 
 /// One life of a process.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -38,6 +39,14 @@
     pub text: Bytes,
 }
 
+impl ConfigDocument {
+    /// Counts a document that goes out on a session.
+    pub fn count_sent(&self, metrics: &Metrics) {
+        metrics.count("config_sent", 1);
+        metrics.count("config_sent_bytes", self.text.len() as u64);
+    }
+}
+
 /// From an entry to a gate.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ToGate {
--- a/src/ephemeral/session.rs
+++ b/src/ephemeral/session.rs
@@ -24,6 +24,7 @@
 use tokio_util::codec::{Encoder, FramedRead, LengthDelimitedCodec};
 
 use crate::ephemeral::message::Frame;
+use crate::metrics::Metrics;
 use crate::time::{Moment, Timer};
 
 /// Largest frame that is taken; a configuration is the largest message.
@@ -49,6 +50,32 @@
     Closed(SessionId),
 }
 
+/// Why a process ended a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SessionLoss {
+    /// A frame had been under way for too long.
+    LateFrame,
+    /// The connection ended.
+    Closed,
+    /// Its peer was silent, or has a newer session.
+    GivenUp,
+    /// Its peer did not take the frames that waited.
+    Stuck,
+}
+
+impl SessionLoss {
+    /// Counts a session that ended so.
+    pub fn count(self, metrics: &Metrics) {
+        let cause = match self {
+            SessionLoss::LateFrame => "late_frame",
+            SessionLoss::Closed => "closed",
+            SessionLoss::GivenUp => "given_up",
+            SessionLoss::Stuck => "stuck",
+        };
+        metrics.count(&format!("sessions_ended.{cause}"), 1);
+    }
+}
+
 /// Tells how long frames were under way.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FrameClock {
