Tell versions of a configuration on sessions, and carry documents in parts

Cause: entries sent the whole document to every gate that knew an older one, and gates to every entry, in one frame each, on the connections of heartbeats and orders, again with each new session. On a narrow link the frames came late, so sessions ended before the document had come and began with it anew. Ruled out: larger limits on silence or the age of frames, as these keep runs apart; a pause before a repeat, as the first sending alone takes seconds (12 entries, 70 gates, 2,845 routes). Change: versions are told; an entry that is behind for a second asks for the document, one part of 16 KiB at a time; gates pass parts on and keep no document.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -219,7 +219,7 @@
                 metrics.count(&format!("runs.{}", end.name()), 1);
                 metrics.time("run_ms", run_us / 1_000);
             }
-            ToEntry::Config(document) => document.count_sent(metrics),
+            ToEntry::ConfigPart(part) => part.count_sent(metrics),
             _ => {}
         }
     }
--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -8,9 +8,7 @@
 use super::{DispatchAction, Dispatcher};
 use crate::code::{Effect, ResultCode};
 use crate::ephemeral::job::{JobId, RunId};
-use crate::ephemeral::message::{
-    ConfigDocument, NotRunReason, OpenRun, ProcessId, RunEnd, ToEntry, ToGate,
-};
+use crate::ephemeral::message::{NotRunReason, OpenRun, ProcessId, RunEnd, ToEntry, ToGate};
 use crate::ephemeral::placement::GateView;
 use crate::ephemeral::session::SessionId;
 use crate::message::Answer;
@@ -38,7 +36,7 @@
         self.sessions.insert(session, name.clone());
         let message = ToGate::Hello {
             entry: self.me.clone(),
-            config: self.config_version(),
+            config: self.configs.version(),
             open,
         };
         self.actions.push(DispatchAction::Send { session, message });
@@ -93,7 +91,7 @@
             return;
         };
         match message {
-            ToEntry::Hello { gate, config } => self.hello(&name, session, &gate, config),
+            ToEntry::Hello { gate, config } => self.hello(now, &name, session, &gate, config),
             ToEntry::Load(load) => {
                 if let Some(gate) = self.gates.get_mut(&name) {
                     gate.observe(now, load);
@@ -103,11 +101,22 @@
             }
             ToEntry::Began { run } => self.began(run),
             ToEntry::Ended { run, end, run_us } => self.ended(now, &name, run, end, run_us),
-            ToEntry::Config(document) => self.learn(document),
+            ToEntry::ConfigVersion(version) => self.gate_knows_config(now, &name, version),
+            ToEntry::WantConfig { asker, wanted } => {
+                self.give_config_part(session, asker, wanted);
+            }
+            ToEntry::ConfigPart(part) => self.config_part(now, session, &part),
         }
     }
 
-    fn hello(&mut self, name: &Arc<str>, session: SessionId, gate: &ProcessId, config: u64) {
+    fn hello(
+        &mut self,
+        now: Moment,
+        name: &Arc<str>,
+        session: SessionId,
+        gate: &ProcessId,
+        config: u64,
+    ) {
         let Some(view) = self.gates.get_mut(name) else {
             return;
         };
@@ -118,10 +127,10 @@
             view.incarnation = gate.incarnation;
         }
         self.withdraw_claims(name, session, &claimed);
-        if let Some(document) = &self.config
-            && document.version > config
-        {
-            let message = ToGate::Config(document.clone());
+        self.gate_knows_config(now, name, config);
+        // A configuration that came between the hello and its answer.
+        if self.configs.version() > config {
+            let message = ToGate::ConfigVersion(self.configs.version());
             self.actions.push(DispatchAction::Send { session, message });
         }
     }
@@ -149,32 +158,6 @@
         }
     }
 
-    fn config_version(&self) -> u64 {
-        self.config.as_ref().map_or(0, |document| document.version)
-    }
-
-    /// A gate knows a configuration: it is newer if its version is higher.
-    fn learn(&mut self, document: ConfigDocument) {
-        if document.version <= self.config_version() {
-            return;
-        }
-        self.actions.push(DispatchAction::Learned(document));
-    }
-
-    /// This configuration is in force here; passes it on to gates.
-    pub fn config_in_force(&mut self, document: ConfigDocument) {
-        if document.version <= self.config_version() {
-            return;
-        }
-        let open = self.gates.values().filter_map(|gate| gate.session);
-        let sends = open.map(|session| DispatchAction::Send {
-            session,
-            message: ToGate::Config(document.clone()),
-        });
-        self.actions.extend(sends);
-        self.config = Some(document);
-    }
-
     /// Ends jobs with runs at gates that have been silent for too long: those
     /// runs may go on for a while, so their outcome is unknown.
     pub(super) fn drop_silent_gates(&mut self, now: Moment) {
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod caller_waits;
+mod config;
 mod congestion;
 mod gates;
 mod job;
@@ -31,6 +32,7 @@
 use crate::run_times::RunTimes;
 use crate::time::{Moment, micros};
 use caller_waits::CallerWaits;
+use config::Configs;
 use congestion::Congestion;
 use job::{Job, TaskState};
 use typical_run::TypicalRun;
@@ -78,7 +80,7 @@
         /// Its answer.
         answer: Answer,
     },
-    /// A gate knows a newer configuration.
+    /// A newer configuration came from another entry.
     Learned(ConfigDocument),
 }
 
@@ -113,7 +115,7 @@
     placer: Placer,
     run_times: RunTimes,
     typical_run: TypicalRun,
-    config: Option<ConfigDocument>,
+    configs: Configs,
     actions: Vec<DispatchAction>,
     dirty: bool,
 }
@@ -141,7 +143,7 @@
             caller_waits: CallerWaits::default(),
             run_times: RunTimes::default(),
             typical_run: TypicalRun::default(),
-            config: None,
+            configs: Configs::default(),
             actions: Vec::new(),
             dirty: false,
         }
@@ -308,6 +310,7 @@
         self.end_hopeless(now);
         self.drop_silent_gates(now);
         self.doubt_quiet_gates(now);
+        self.fetch_config(now);
         self.forget_past(now);
         self.dirty |= !self.backlog.is_empty();
     }
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -285,8 +285,8 @@
         for action in self.dispatcher.take_actions(now) {
             match action {
                 DispatchAction::Send { session, message } => {
-                    if let ToGate::Config(document) = &message {
-                        document.count_sent(&self.parts.metrics);
+                    if let ToGate::ConfigPart { part, .. } = &message {
+                        part.count_sent(&self.parts.metrics);
                     }
                     self.sessions.send(session, message);
                 }
@@ -297,7 +297,7 @@
                         let _ = reply.send(answer);
                     }
                 }
-                DispatchAction::Learned(document) => self.learn(document, "gate"),
+                DispatchAction::Learned(document) => self.learn(document, "entry"),
             }
         }
         for session in self.sessions.flush() {
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -9,6 +9,7 @@
 //! A gate that starts anew finds the runs of its predecessor in the worker's
 //! list and takes nothing before each was claimed by its entry or is over.
 
+mod config;
 mod health;
 mod life;
 mod pace;
@@ -27,9 +28,7 @@
 use crate::ephemeral::directory::WorkerRecord;
 use crate::ephemeral::job::{Resources, RunId, Urgency};
 use crate::ephemeral::limits::Limits;
-use crate::ephemeral::message::{
-    ConfigDocument, GateLoad, NotRunReason, ProcessId, RunEnd, ToEntry,
-};
+use crate::ephemeral::message::{GateLoad, NotRunReason, ProcessId, RunEnd, ToEntry};
 use crate::ephemeral::room::Room;
 use crate::ephemeral::session::SessionId;
 use crate::ephemeral::worker::{HoldCall, StartCall, StopCall};
@@ -159,7 +158,6 @@
     past_order: VecDeque<(u64, RunId)>,
     /// Runs of an earlier gate on this worker that no entry has claimed.
     unclaimed: BTreeMap<RunId, u64>,
-    config: Option<ConfigDocument>,
     hold_pending: bool,
     check_pending: bool,
     check_wanted: bool,
@@ -193,7 +191,6 @@
             past: HashMap::new(),
             past_order: VecDeque::new(),
             unclaimed: BTreeMap::new(),
-            config: None,
             hold_pending: false,
             check_pending: false,
             check_wanted: false,
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -1,12 +1,10 @@
 //! Sessions with entries: who is there, what they want, what they are told.
 
-use slog::{debug, info, warn};
+use slog::{debug, info};
 
 use super::{Gate, GateAction, Run, RunState, StopCause};
 use crate::ephemeral::job::RunId;
-use crate::ephemeral::message::{
-    ConfigDocument, NotRunReason, OpenRun, ProcessId, RunEnd, ToEntry, ToGate,
-};
+use crate::ephemeral::message::{NotRunReason, OpenRun, ProcessId, RunEnd, ToEntry, ToGate};
 use crate::ephemeral::session::SessionId;
 use crate::time::{Moment, micros};
 
@@ -17,8 +15,10 @@
 /// An entry that has sent orders.
 #[derive(Debug)]
 pub(super) struct Owner {
-    session: Option<SessionId>,
+    pub(super) session: Option<SessionId>,
     heard_us: u64,
+    /// Version of the configuration that it has.
+    pub(super) config: u64,
     /// Last of its starts that arrived.
     seen: u64,
 }
@@ -47,7 +47,9 @@
                 self.admit(now, entry, *order);
             }
             ToGate::Stop { run } => self.stop(now, run, StopCause::Unwanted),
-            ToGate::Config(document) => self.learn_config(document),
+            ToGate::ConfigVersion(version) => self.entry_has_config(&entry, version),
+            ToGate::WantConfig(wanted) => self.want_config(session, wanted),
+            ToGate::ConfigPart { asker, part } => self.pass_config_part(asker, part),
             ToGate::Beat | ToGate::Hello { .. } => {}
         }
     }
@@ -74,6 +76,7 @@
         let owner = Owner {
             session: Some(session),
             heard_us: now.mono_us,
+            config: 0,
             seen: 0,
         };
         if let Some(before) = self.owners.insert(entry.clone(), owner)
@@ -83,12 +86,12 @@
             self.actions.push(GateAction::Close(old));
         }
         self.sessions.insert(session, entry.clone());
+        self.entry_has_config(&entry, config);
         let message = ToEntry::Hello {
             gate: self.me.clone(),
-            config: self.config_version(),
+            config: self.newest_config(),
         };
         self.tell(&entry, message);
-        self.share_config(&entry, config);
         self.resume(now, &entry, &open);
         self.load_changed = true;
     }
@@ -268,35 +271,4 @@
             self.tell(&entry, ToEntry::Load(load));
         }
     }
-
-    fn config_version(&self) -> u64 {
-        self.config.as_ref().map_or(0, |document| document.version)
-    }
-
-    /// Keeps the newest configuration for entries that cannot read the store.
-    fn learn_config(&mut self, document: ConfigDocument) {
-        if document.version <= self.config_version() {
-            return;
-        }
-        info!(self.log, "configuration passed on"; "version" => document.version);
-        let version = document.version;
-        self.config = Some(document);
-        let others: Vec<ProcessId> = self.owners.keys().cloned().collect();
-        for entry in others {
-            self.share_config(&entry, version - 1);
-        }
-    }
-
-    fn share_config(&mut self, entry: &ProcessId, known: u64) {
-        match &self.config {
-            Some(document) if document.version > known => {
-                let message = ToEntry::Config(document.clone());
-                self.tell(entry, message);
-            }
-            None if known > 0 => {
-                warn!(self.log, "no configuration yet"; "entry_has" => known);
-            }
-            _ => {}
-        }
-    }
 }
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -4,12 +4,14 @@
 //! messages that were waiting and the sender's monotonic clock, by which the
 //! receiver tells how long the frame was under way ([`super::session`]).
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::ephemeral::job::{Resources, RunId, Urgency};
+use crate::ephemeral::session::SessionId;
 use crate::metrics::Metrics;
 
 /// One life of a process.
@@ -30,8 +32,12 @@
     pub messages: Vec<M>,
 }
 
+/// Bytes of a configuration in one message: 5 ms on a link of 25 Mbit/s, by which it
+/// may hold up heartbeats (151 ms apart) and orders on the same connection.
+const CONFIG_PART_BYTES: usize = 16 << 10;
+
 /// A configuration document as the operator wrote it, passed on unread.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigDocument {
     /// Its version.
     pub version: u64,
@@ -39,11 +45,58 @@
     pub text: Bytes,
 }
 
+/// What an entry lacks of a configuration document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartWanted {
+    /// Version of the document.
+    pub version: u64,
+    /// Bytes of it that the entry has.
+    pub offset: u64,
+}
+
+/// Part of a configuration document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigPart {
+    /// Version of the document.
+    pub version: u64,
+    /// Where the part begins, in bytes.
+    pub offset: u64,
+    /// Length of the whole document in bytes.
+    pub total: u64,
+    /// The part.
+    pub bytes: Bytes,
+}
+
 impl ConfigDocument {
-    /// Counts a document that goes out on a session.
+    /// The part that is wanted, or the first one of this document if it is newer;
+    /// `None` if it is older, or if there is no such part.
+    pub fn part(&self, wanted: PartWanted) -> Option<ConfigPart> {
+        let offset = match self.version.cmp(&wanted.version) {
+            Ordering::Less => return None,
+            Ordering::Equal => usize::try_from(wanted.offset).ok()?,
+            Ordering::Greater => 0,
+        };
+        let end = self
+            .text
+            .len()
+            .min(offset.saturating_add(CONFIG_PART_BYTES));
+        if offset >= end {
+            return None;
+        }
+        Some(ConfigPart {
+            version: self.version,
+            offset: offset as u64,
+            total: self.text.len() as u64,
+            bytes: self.text.slice(offset..end),
+        })
+    }
+}
+
+impl ConfigPart {
+    /// Counts a part that goes out on a session.
     pub fn count_sent(&self, metrics: &Metrics) {
-        metrics.count("config_sent", 1);
-        metrics.count("config_sent_bytes", self.text.len() as u64);
+        metrics.count("config_parts_sent", 1);
+        metrics.count("config_sent_bytes", self.bytes.len() as u64);
     }
 }
 
@@ -68,8 +121,17 @@
     },
     /// The entry lives.
     Beat,
-    /// The entry's configuration is newer than the gate's.
-    Config(ConfigDocument),
+    /// Version of the configuration that is in force in the entry now.
+    ConfigVersion(u64),
+    /// The entry lacks part of a newer configuration.
+    WantConfig(PartWanted),
+    /// Part of its configuration, for another entry.
+    ConfigPart {
+        /// Session of the gate with that entry.
+        asker: SessionId,
+        /// The part.
+        part: ConfigPart,
+    },
 }
 
 /// A run that an entry had given to a gate before their session broke.
@@ -118,7 +180,7 @@
     Hello {
         /// The gate.
         gate: ProcessId,
-        /// Version of the configuration that it has seen.
+        /// Newest configuration that one of its entries has.
         config: u64,
     },
     /// The gate's state now; also its sign of life.
@@ -137,8 +199,17 @@
         /// The run.
         run: RunId,
     },
-    /// The gate has seen a newer configuration than the entry.
-    Config(ConfigDocument),
+    /// Another entry has this version of the configuration.
+    ConfigVersion(u64),
+    /// Another entry lacks part of this entry's configuration.
+    WantConfig {
+        /// Session of the gate with that entry.
+        asker: SessionId,
+        /// What it lacks.
+        wanted: PartWanted,
+    },
+    /// Part of a newer configuration, as wanted.
+    ConfigPart(ConfigPart),
 }
 
 /// How a run ended.
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -63,6 +63,8 @@
     pub heard_us: u64,
     /// Its last load.
     pub load: GateLoad,
+    /// Newest configuration that it knows an entry to have.
+    pub config: u64,
     /// Runs that the hello of this session claimed.
     pub claimed: Vec<RunId>,
     /// Starts sent in this session.
@@ -87,6 +89,7 @@
             incarnation: 0,
             heard_us: now_us,
             load: GateLoad::default(),
+            config: 0,
             claimed: Vec::new(),
             sent: 0,
             unseen: VecDeque::new(),
--- a/src/ephemeral/session.rs
+++ b/src/ephemeral/session.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -27,13 +27,13 @@
 use crate::metrics::Metrics;
 use crate::time::{Moment, Timer};
 
-/// Largest frame that is taken; a configuration is the largest message.
+/// Largest frame that is taken; starts with large payloads may share one.
 const FRAME_BYTES: usize = 2 << 20;
 /// Frames that may wait for a slow peer before the session is closed.
 const FRAMES_WAITING: usize = 256;
 
 /// Names a session within this process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct SessionId(pub u64);
 
 /// What happens on a session.
--- a/tests/ephemeral_large_config.rs
+++ b/tests/ephemeral_large_config.rs
@@ -16,7 +16,7 @@
 use narrow_links::Machines;
 use winghold::ephemeral::message::ConfigDocument;
 
-/// Entries, as many as four gates' hosts of the smaller deployments have.
+/// Entries, as many as a deployment in four failure domains has at least.
 const ENTRIES: usize = 4;
 /// Gates, a third of the number on a larger deployment.
 const GATES: usize = 24;
