Failing test: repeated reads share a narrow link

Cause: a read without an answer is repeated beside the first, after 40 ms and then a quarter later each time, without bound. Ruled out: nothing yet. Change: a test in virtual time, a read of 0.45 s on a link that all reads under way share. Before: nothing is told within 1.35 s.

--- a/tests/ephemeral_follower.rs
+++ b/tests/ephemeral_follower.rs
@@ -67,7 +67,7 @@
 }
 
 /// Follows the store for `span`; returns how often entries were told.
-async fn told_within(store: Arc<FakeStore>, span: Duration) -> usize {
+async fn told_within(store: Arc<dyn Store>, span: Duration) -> usize {
     let (tx, mut rx) = unbounded_channel();
     let follower = Follower {
         store,
@@ -115,3 +115,63 @@
     let wait_ms = store.longest_wait_ms.load(Ordering::Relaxed);
     assert!((1..=4_000).contains(&wait_ms), "{wait_ms} ms");
 }
+
+/// Answers reads over a narrow link that the reads under way share.
+struct NarrowStore {
+    under_way: AtomicU32,
+}
+
+/// How long a read takes by itself, in milliseconds: a document of a megabyte,
+/// in base64, at 25 Mbit/s.
+const READ_MS: u32 = 450;
+
+impl Store for NarrowStore {
+    fn call(&self, req: StoreRequest) -> StoreFuture<'_> {
+        Box::pin(async move {
+            if matches!(req, StoreRequest::Watch { .. }) {
+                std::future::pending::<()>().await;
+            }
+            let read = UnderWay::new(&self.under_way);
+            let mut left_ms = f64::from(READ_MS);
+            while left_ms > 0.0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                left_ms -= 1.0 / read.sharers();
+            }
+            Ok(StoreReply::Entries {
+                revision: 1,
+                entries: vec![FakeStore::entry()],
+            })
+        })
+    }
+}
+
+/// Counts a read for as long as it is not given up.
+struct UnderWay<'a>(&'a AtomicU32);
+
+impl UnderWay<'_> {
+    fn new(count: &AtomicU32) -> UnderWay<'_> {
+        count.fetch_add(1, Ordering::Relaxed);
+        UnderWay(count)
+    }
+
+    fn sharers(&self) -> f64 {
+        f64::from(self.0.load(Ordering::Relaxed))
+    }
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Reads were repeated side by side however many were under way: on a narrow link
+/// each repeat took its share from those before it.
+#[tokio::test(start_paused = true)]
+async fn repeats_do_not_take_the_link_from_a_read_that_lasts() {
+    let store = Arc::new(NarrowStore {
+        under_way: AtomicU32::new(0),
+    });
+    let span = Duration::from_millis(u64::from(3 * READ_MS));
+    assert_eq!(told_within(store, span).await, 1);
+}
