Take changes from the watch instead of reading everything anew

Cause: the answer of a watch was thrown away and all keys under the prefix were read: a large configuration came twice, and each change of one gate's record brought those of all gates. Ruled out: continuing from the revision of the store that a watch without changes tells, as a watch may have missed what lies before it; the last change that was told is safe. Change: a watch brings written and removed keys; everything is read anew each 20 s, since keys may vanish without any watch being told, and where the history is gone.

--- a/src/ephemeral/follower.rs
+++ b/src/ephemeral/follower.rs
@@ -1,5 +1,11 @@
 //! Following keys of the store: read once, then watched for changes.
+//!
+//! A change costs its own bytes, not those of all keys under the prefix: with 70
+//! records of gates, or a configuration of 2,845 routes, the rest is most of what a
+//! narrow link would carry. Everything is read anew only where the store has
+//! forgotten what changed, or a watch fails.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +14,7 @@
 
 use crate::ephemeral::backoff::Backoff;
 use crate::metrics::Metrics;
-use crate::store::{Store, StoreEntry, StoreError, StoreReply, StoreRequest};
+use crate::store::{Store, StoreChange, StoreEntry, StoreError, StoreReply, StoreRequest};
 use crate::time::{Moment, Timer};
 
 /// Wait of a watch for a change. A store that falls silent may leave it without an
@@ -17,6 +23,11 @@
 /// the newest one (the platform's `contact_ms`; `config_ms` does not add to it).
 const WATCH: Duration = Duration::from_millis(1_500);
 
+/// Age of a whole read after which everything is read anew: keys may be taken away
+/// without any watch being told, and a gate that is gone would be dialed for good. As
+/// long as the platform's store keeps its history (20 s), after which a watch without
+/// changes begins with a whole read anyway.
+const REREAD: Duration = Duration::from_secs(20);
 /// Most reads under way at a time. Two answers may be lost without delay, and a read
 /// that lasts keeps a third of a narrow link: a megabyte (0.45 s on 25 Mbit/s by
 /// itself) is read in 1.35 s at most, and in no bounded time without this limit.
@@ -49,6 +60,56 @@
     }
 }
 
+/// What is known of the keys under a prefix.
+struct Known {
+    revision: u64,
+    entries: BTreeMap<String, StoreEntry>,
+}
+
+impl Known {
+    fn new(revision: u64, entries: Vec<StoreEntry>) -> Known {
+        let entries = entries.into_iter().map(|entry| (entry.key.clone(), entry));
+        let entries = entries.collect();
+        Known { revision, entries }
+    }
+
+    fn entries(&self) -> Vec<StoreEntry> {
+        self.entries.values().cloned().collect()
+    }
+
+    /// Takes in what was read anew; tells whether it may be news.
+    fn replace(&mut self, revision: u64, entries: Vec<StoreEntry>) -> bool {
+        let news = revision != self.revision;
+        *self = Known::new(revision, entries);
+        news
+    }
+
+    /// Takes in changes; tells whether there were any.
+    fn apply(&mut self, revision: u64, changes: Vec<StoreChange>) -> bool {
+        let news = !changes.is_empty();
+        for change in changes {
+            match change {
+                StoreChange::Written(entry) => {
+                    self.entries.insert(entry.key.clone(), entry);
+                }
+                StoreChange::Removed { key } => {
+                    self.entries.remove(&key);
+                }
+            }
+        }
+        self.revision = revision;
+        news
+    }
+}
+
+/// Why watching ended.
+enum WatchEnd {
+    /// Whoever was told of changes is gone.
+    NobodyListens,
+    /// A watch failed; `heard` tells whether one before it was answered.
+    Failed { heard: bool },
+}
+
 /// Follows keys of the store.
 #[derive(Clone)]
 pub struct Follower {
@@ -74,42 +135,71 @@
         let mut reachable = Reachable::new(what, self.log.clone());
         let mut backoff = Backoff::default();
         loop {
-            let (mut known, entries) = self.read_anew(prefix, &mut reachable).await;
-            if !tell(entries) {
+            let known = self.read_anew(prefix, &mut reachable).await;
+            if !tell(known.entries()) {
                 return;
             }
-            loop {
-                let watch = StoreRequest::Watch {
-                    prefix: prefix.to_string(),
-                    after: known,
-                    wait_ms: WATCH.as_millis() as u64,
-                };
-                let reply = self.store.call(watch).await;
-                reachable.note(&reply);
-                if reply.is_err() {
-                    self.metrics.count(&format!("store_unanswered.{what}"), 1);
-                }
-                let Ok(StoreReply::Entries { revision, entries }) = reply else {
-                    debug!(self.log, "watch begins anew"; "for" => what, "reply" => ?reply);
-                    break;
-                };
-                backoff = Backoff::default();
-                if revision != known && !tell(entries) {
-                    return;
-                }
-                known = revision;
+            let watching = self.watch_all(prefix, known, &mut reachable, &tell);
+            match self.timer.within(REREAD, watching).await {
+                Some(WatchEnd::NobodyListens) => return,
+                Some(WatchEnd::Failed { heard: true }) | None => backoff = Backoff::default(),
+                Some(WatchEnd::Failed { heard: false }) => backoff.grow(),
             }
             self.timer.sleep(backoff.pause()).await;
-            backoff.grow();
         }
     }
 
+    /// Watches on and on, and tells the entries at each change.
+    async fn watch_all(
+        &self,
+        prefix: &str,
+        mut known: Known,
+        reachable: &mut Reachable,
+        tell: &impl Fn(Vec<StoreEntry>) -> bool,
+    ) -> WatchEnd {
+        let mut heard = false;
+        loop {
+            let changed = match self.watch(prefix, known.revision, reachable).await {
+                Ok(StoreReply::Changes { revision, changes }) => known.apply(revision, changes),
+                Ok(StoreReply::Entries { revision, entries }) => known.replace(revision, entries),
+                reply => {
+                    debug!(self.log, "watch begins anew"; "for" => reachable.what, "reply" => ?reply);
+                    return WatchEnd::Failed { heard };
+                }
+            };
+            heard = true;
+            if changed && !tell(known.entries()) {
+                return WatchEnd::NobodyListens;
+            }
+        }
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        reachable: &mut Reachable,
+    ) -> Result<StoreReply, StoreError> {
+        let watch = StoreRequest::Watch {
+            prefix: prefix.to_string(),
+            after,
+            wait_ms: WATCH.as_millis() as u64,
+        };
+        let reply = self.store.call(watch).await;
+        reachable.note(&reply);
+        if reply.is_err() {
+            let name = format!("store_unanswered.{}", reachable.what);
+            self.metrics.count(&name, 1);
+        }
+        reply
+    }
+
     /// Reads the entries under a prefix, for as long as it takes.
     ///
     /// A call that has no answer yet does not hold up the next one: the first call
     /// of a process often meets the store's return from an outage, and an answer
     /// that is lost costs its whole time limit.
-    async fn read_anew(&self, prefix: &str, reachable: &mut Reachable) -> (u64, Vec<StoreEntry>) {
+    async fn read_anew(&self, prefix: &str, reachable: &mut Reachable) -> Known {
         let mut calls = JoinSet::new();
         let mut backoff = Backoff::default();
         loop {
@@ -128,7 +218,7 @@
                 reachable.note(&reply);
                 self.note_read(reachable.what, asked, &reply);
                 if let Ok(StoreReply::Entries { revision, entries }) = reply {
-                    return (revision, entries);
+                    return Known::new(revision, entries);
                 }
             }
             backoff.grow();
--- a/src/store.rs
+++ b/src/store.rs
@@ -32,8 +32,9 @@
         /// The prefix.
         prefix: String,
     },
-    /// Waits until a key with the prefix changes after a revision, and reads
-    /// all of them.
+    /// Waits until a key with the prefix changes after a revision; answered with the
+    /// changes, or with all entries by a store that does not tell changes or has
+    /// forgotten them.
     Watch {
         /// The prefix.
         prefix: String,
@@ -81,6 +82,18 @@
     pub revision: u64,
 }
 
+/// What became of one key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreChange {
+    /// It was written.
+    Written(StoreEntry),
+    /// It was removed, or its lease ended.
+    Removed {
+        /// The key.
+        key: String,
+    },
+}
+
 /// The store's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreReply {
@@ -91,6 +104,14 @@
         /// The keys, in order.
         entries: Vec<StoreEntry>,
     },
+    /// Changes, oldest first.
+    Changes {
+        /// Revision to watch from next: that of the last change, or the one already
+        /// known if there is none.
+        revision: u64,
+        /// The changes.
+        changes: Vec<StoreChange>,
+    },
     /// The write took effect.
     Written {
         /// Its revision.
--- a/tests/ephemeral_follower.rs
+++ b/tests/ephemeral_follower.rs
@@ -8,7 +8,9 @@
 use winghold::ephemeral::follower::Follower;
 use winghold::logging;
 use winghold::metrics::Metrics;
-use winghold::store::{Store, StoreEntry, StoreError, StoreFuture, StoreReply, StoreRequest};
+use winghold::store::{
+    Store, StoreChange, StoreEntry, StoreError, StoreFuture, StoreReply, StoreRequest,
+};
 use winghold::time::Timer;
 
 /// When a client of the store gives up a read that has no answer.
@@ -76,6 +78,11 @@
 
 /// Follows the store for `span`; returns how often entries were told.
 async fn told_within(store: Arc<dyn Store>, span: Duration) -> usize {
+    entries_told_within(store, span).await.len()
+}
+
+/// Follows the store for `span`; returns the entries that were told.
+async fn entries_told_within(store: Arc<dyn Store>, span: Duration) -> Vec<Vec<StoreEntry>> {
     let (tx, mut rx) = unbounded_channel();
     let follower = Follower {
         store,
@@ -85,11 +92,7 @@
     };
     let tell = move |entries: Vec<StoreEntry>| tx.send(entries).is_ok();
     let _ = tokio::time::timeout(span, follower.follow("k", "test", tell)).await;
-    let mut told = 0;
-    while rx.try_recv().is_ok() {
-        told += 1;
-    }
-    told
+    std::iter::from_fn(|| rx.try_recv().ok()).collect()
 }
 
 #[tokio::test(start_paused = true)]
@@ -183,3 +186,63 @@
     let span = Duration::from_millis(u64::from(3 * READ_MS));
     assert_eq!(told_within(store, span).await, 1);
 }
+
+/// Changes a key every second, and takes another away without telling anyone.
+struct ForgetfulStore {
+    reads: AtomicU32,
+    changes: AtomicU32,
+}
+
+impl ForgetfulStore {
+    fn entry(key: &str) -> StoreEntry {
+        StoreEntry {
+            key: key.to_string(),
+            ..FakeStore::entry()
+        }
+    }
+}
+
+impl Store for ForgetfulStore {
+    fn call(&self, req: StoreRequest) -> StoreFuture<'_> {
+        if let StoreRequest::Watch { after, .. } = req {
+            return Box::pin(async move {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                self.changes.fetch_add(1, Ordering::Relaxed);
+                let changes = vec![StoreChange::Written(ForgetfulStore::entry("changes"))];
+                let revision = after + 1;
+                Ok(StoreReply::Changes { revision, changes })
+            });
+        }
+        let first = self.reads.fetch_add(1, Ordering::Relaxed) == 0;
+        let keys: &[&str] = if first {
+            &["changes", "gone"]
+        } else {
+            &["changes"]
+        };
+        let entries = keys.iter().map(|key| ForgetfulStore::entry(key)).collect();
+        Box::pin(async move {
+            Ok(StoreReply::Entries {
+                revision: 1,
+                entries,
+            })
+        })
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_no_watch_ever_told_is_found_by_reading_anew() {
+    let store = Arc::new(ForgetfulStore {
+        reads: AtomicU32::new(0),
+        changes: AtomicU32::new(0),
+    });
+    let told = entries_told_within(store.clone(), Duration::from_secs(60)).await;
+    let sizes: Vec<usize> = told.iter().map(Vec::len).collect();
+    assert_eq!(sizes.first(), Some(&2));
+    assert_eq!(sizes.last(), Some(&1), "the key that is gone is forgotten");
+    let reads = store.reads.load(Ordering::Relaxed);
+    assert!((2..=4).contains(&reads), "{reads} reads");
+    assert!(
+        store.changes.load(Ordering::Relaxed) >= 55,
+        "it goes on watching"
+    );
+}
