Repeat a read of the store by how long reads usually take

Change: a read is repeated after twice the time that the last one took; entries that did not change since are not told again; the timer's clock stops with the runtime's in tests.

--- a/src/ephemeral/backoff.rs
+++ b/src/ephemeral/backoff.rs
@@ -25,6 +25,15 @@
     }
 }
 
+impl From<Duration> for Backoff {
+    /// Begins with this pause, within the usual bounds.
+    fn from(first: Duration) -> Backoff {
+        Backoff {
+            pause: first.clamp(FIRST, LONGEST),
+        }
+    }
+}
+
 impl Backoff {
     /// The pause after the next attempt.
     pub fn pause(&self) -> Duration {
--- a/src/ephemeral/follower.rs
+++ b/src/ephemeral/follower.rs
@@ -33,6 +33,9 @@
 /// itself) is read in 1.35 s at most, and in no bounded time without this limit.
 const MOST_READS: usize = 3;
 
+/// Times the last whole read after which a read is repeated beside the first.
+const USUAL_READS: u32 = 2;
+
 /// Notes once when a dependency is lost, and once when it is back.
 pub(super) struct Reachable {
     what: &'static str,
@@ -134,17 +137,21 @@
     ) {
         let mut reachable = Reachable::new(what, self.log.clone());
         let mut backoff = Backoff::default();
+        let mut usual = Duration::ZERO;
+        let mut told = None;
         loop {
-            let known = self.read_anew(prefix, &mut reachable).await;
-            if !tell(known.entries()) {
+            let (mut known, took) = self.read_anew(prefix, usual, &mut reachable).await;
+            usual = took;
+            if told.as_ref() != Some(&known.entries) && !tell(known.entries()) {
                 return;
             }
-            let watching = self.watch_all(prefix, known, &mut reachable, &tell);
+            let watching = self.watch_all(prefix, &mut known, &mut reachable, &tell);
             match self.timer.within(REREAD, watching).await {
                 Some(WatchEnd::NobodyListens) => return,
                 Some(WatchEnd::Failed { heard: true }) | None => backoff = Backoff::default(),
                 Some(WatchEnd::Failed { heard: false }) => backoff.grow(),
             }
+            told = Some(known.entries);
             self.timer.sleep(backoff.pause()).await;
         }
     }
@@ -153,7 +160,7 @@
     async fn watch_all(
         &self,
         prefix: &str,
-        mut known: Known,
+        known: &mut Known,
         reachable: &mut Reachable,
         tell: &impl Fn(Vec<StoreEntry>) -> bool,
     ) -> WatchEnd {
@@ -194,14 +201,21 @@
         reply
     }
 
-    /// Reads the entries under a prefix, for as long as it takes.
+    /// Reads the entries under a prefix, for as long as it takes; returns them and how
+    /// long the read took that brought them.
     ///
     /// A call that has no answer yet does not hold up the next one: the first call
     /// of a process often meets the store's return from an outage, and an answer
-    /// that is lost costs its whole time limit.
-    async fn read_anew(&self, prefix: &str, reachable: &mut Reachable) -> Known {
+    /// that is lost costs its whole time limit. Reads that usually last are repeated
+    /// later: what takes 0.2 s would else be read three times over.
+    async fn read_anew(
+        &self,
+        prefix: &str,
+        usual: Duration,
+        reachable: &mut Reachable,
+    ) -> (Known, Duration) {
         let mut calls = JoinSet::new();
-        let mut backoff = Backoff::default();
+        let mut backoff = Backoff::from(usual * USUAL_READS);
         loop {
             if calls.len() < MOST_READS {
                 let (store, prefix) = (self.store.clone(), prefix.to_string());
@@ -216,22 +230,30 @@
                     () = &mut pause => break,
                 };
                 reachable.note(&reply);
-                self.note_read(reachable.what, asked, &reply);
+                let took = self.note_read(reachable.what, asked, &reply);
                 if let Ok(StoreReply::Entries { revision, entries }) = reply {
-                    return Known::new(revision, entries);
+                    return (Known::new(revision, entries), took);
                 }
             }
             backoff.grow();
         }
     }
 
-    fn note_read(&self, what: &'static str, asked: Moment, reply: &Result<StoreReply, StoreError>) {
-        if reply.is_err() {
-            self.metrics.count(&format!("store_unanswered.{what}"), 1);
-            return;
+    /// Counts a read; returns how long it took.
+    fn note_read(
+        &self,
+        what: &'static str,
+        asked: Moment,
+        reply: &Result<StoreReply, StoreError>,
+    ) -> Duration {
+        let took = Duration::from_micros(self.timer.now().mono_us - asked.mono_us);
+        match reply {
+            Ok(_) => {
+                let name = format!("store_read_ms.{what}");
+                self.metrics.time(&name, took.as_millis() as u64);
+            }
+            Err(_) => self.metrics.count(&format!("store_unanswered.{what}"), 1),
         }
-        let took_us = self.timer.now().mono_us - asked.mono_us;
-        self.metrics
-            .time(&format!("store_read_ms.{what}"), took_us / 1_000);
+        took
     }
 }
--- a/src/time.rs
+++ b/src/time.rs
@@ -98,7 +98,8 @@
 /// Handle on the timer service; clones share it.
 #[derive(Clone)]
 pub struct Timer {
-    start: Instant,
+    /// Read on the runtime's clock, which tests may pause.
+    start: tokio::time::Instant,
     /// Absent where the runtime's own timers serve.
     thread: Option<Arc<Thread>>,
 }
@@ -113,7 +114,7 @@
             .spawn(move || fire_alarms(&worker))
             .expect("the timer thread starts");
         Timer {
-            start: Instant::now(),
+            start: tokio::time::Instant::now(),
             thread: Some(Arc::new(Thread { shared })),
         }
     }
@@ -122,7 +123,7 @@
     /// wake, which a small share of a core pays for.
     pub fn coarse() -> Timer {
         Timer {
-            start: Instant::now(),
+            start: tokio::time::Instant::now(),
             thread: None,
         }
     }
--- a/tests/ephemeral_follower.rs
+++ b/tests/ephemeral_follower.rs
@@ -246,3 +246,38 @@
         "it goes on watching"
     );
 }
+
+/// Answers every read after a while, with the same entry, and no watch.
+struct LastingStore {
+    reads: AtomicU32,
+}
+
+impl Store for LastingStore {
+    fn call(&self, req: StoreRequest) -> StoreFuture<'_> {
+        if matches!(req, StoreRequest::Watch { .. }) {
+            return Box::pin(async { Err(StoreError::Unanswered) });
+        }
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            Ok(StoreReply::Entries {
+                revision: 1,
+                entries: vec![FakeStore::entry()],
+            })
+        })
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_read_is_repeated_only_when_it_lasts_longer_than_usual() {
+    let store = Arc::new(LastingStore {
+        reads: AtomicU32::new(0),
+    });
+    let told = told_within(store.clone(), Duration::from_secs(10)).await;
+    assert_eq!(told, 1, "nothing changed since");
+    let reads = store.reads.load(Ordering::Relaxed);
+    assert!(
+        (15..=25).contains(&reads),
+        "{reads} reads, about two a second"
+    );
+}
