--- a/src/ephemeral/follower.rs
+++ b/src/ephemeral/follower.rs
@@ -178,7 +178,11 @@
         loop {
             let changed = match self.watch(prefix, known.revision, reachable).await {
                 Ok(StoreReply::Changes { revision, changes }) => known.apply(revision, changes),
-                Ok(StoreReply::Entries { revision, entries }) => known.replace(revision, entries),
+                Ok(StoreReply::Entries { revision, entries }) => {
+                    debug!(self.log, "watch brought everything"; "for" => reachable.what,
+                        "after" => known.revision, "revision" => revision);
+                    known.replace(revision, entries)
+                }
                 reply => {
                     debug!(self.log, "watch begins anew"; "for" => reachable.what, "reply" => ?reply);
                     return WatchEnd::Failed { heard };
@@ -242,6 +246,9 @@
                 reachable.note(&reply);
                 let took = self.note_read(reachable.what, asked, &reply);
                 if let Ok(StoreReply::Entries { revision, entries }) = reply {
+                    debug!(self.log, "everything read"; "for" => reachable.what,
+                        "entries" => entries.len(), "revision" => revision,
+                        "took_us" => took.as_micros() as u64);
                     return (Known::new(revision, entries), took);
                 }
             }
