--- a/src/ephemeral/dispatcher/config.rs
+++ b/src/ephemeral/dispatcher/config.rs
@@ -114,7 +114,7 @@
         if next {
             self.text.extend_from_slice(&part.bytes);
         }
-        next && !part.bytes.is_empty()
+        next
     }
 }
 
--- a/src/ephemeral/gate/config.rs
+++ b/src/ephemeral/gate/config.rs
@@ -39,7 +39,6 @@
         let holders: Vec<SessionId> = holders
             .filter(|owner| owner.config >= wanted.version)
             .filter_map(|owner| owner.session)
-            .filter(|session| *session != asker)
             .collect();
         if holders.is_empty() {
             return;
--- a/tests/ephemeral_config_exchange.rs
+++ b/tests/ephemeral_config_exchange.rs
@@ -167,34 +167,43 @@
         panic!("one part");
     };
     let newer = document(8);
-    let mut wanted = wanted;
-    for _ in 0..3 {
-        let part = newer.part(wanted).expect("a part");
-        bench.tell(session.0, ToEntry::ConfigPart(part));
-        if let [(_, next)] = asked_but_keep_learned(&mut bench)[..] {
-            wanted = next;
+    let mut part = newer.part(wanted);
+    while let Some(next) = part.take() {
+        bench.tell(session.0, ToEntry::ConfigPart(next));
+        if let Some(wanted) = last_asked(&bench) {
+            part = newer.part(wanted);
+        }
+        if learned(&bench).len() == 1 {
+            break;
         }
     }
     assert_eq!(learned(&bench), [&newer]);
 }
 
-fn asked_but_keep_learned(bench: &mut Bench) -> Vec<(SessionId, PartWanted)> {
-    match learned(bench).is_empty() {
-        true => asked(bench),
-        false => Vec::new(),
-    }
+/// What the entry asked for last.
+fn last_asked(bench: &Bench) -> Option<PartWanted> {
+    let asked = bench.actions.iter().filter_map(|action| match action {
+        DispatchAction::Send {
+            message: ToGate::WantConfig(wanted),
+            ..
+        } => Some(*wanted),
+        _ => None,
+    });
+    asked.last()
 }
 
 #[test]
-fn a_gate_that_is_not_heard_is_not_asked() {
+fn a_gate_that_is_quiet_is_not_asked() {
     let mut bench = behind(2);
-    for _ in 0..10 {
-        bench.load(2, load(1_000, 0));
-        bench.pass(100);
+    for turn in 0..100 {
+        bench.load(1, load(1_000, 0));
+        if turn < 75 {
+            bench.load(2, load(1_000, 0));
+        }
+        bench.pass(10);
     }
-    bench.pass(100);
     let sessions: Vec<u64> = asked(&mut bench).iter().map(|(one, _)| one.0).collect();
-    assert_eq!(sessions, [2]);
+    assert_eq!(sessions, [1]);
 }
 
 #[test]
@@ -275,12 +284,16 @@
     );
     tell(&mut bench, 23, ToGate::ConfigVersion(6));
     assert!(sent(&mut bench).is_empty(), "the others know");
+    hello(&mut bench, 24, 6);
+    let [(24, ToEntry::Hello { config: 6, .. })] = &sent(&mut bench)[..] else {
+        panic!("a hello tells the newest version");
+    };
 
     tell(&mut bench, 22, ToGate::WantConfig(first(6)));
     let [(holder, ToEntry::WantConfig { asker, wanted })] = sent(&mut bench)[..] else {
         panic!("one holder is asked");
     };
-    assert!([21, 23].contains(&holder));
+    assert!([21, 23, 24].contains(&holder));
     assert_eq!(asker, SessionId(22));
     let part = document(6).part(wanted).expect("a part");
     let answer = ToGate::ConfigPart {
@@ -295,6 +308,20 @@
     assert_eq!(*passed, part);
 }
 
+#[test]
+fn an_entry_that_connects_with_a_newer_version_is_told_of() {
+    let mut bench = gate_bench::Bench::unlisted();
+    hello(&mut bench, 21, 5);
+    sent(&mut bench);
+    hello(&mut bench, 22, 6);
+    let told = sent(&mut bench);
+    let behind = told.iter().find(|(session, _)| *session == 21);
+    assert!(
+        matches!(behind, Some((_, ToEntry::ConfigVersion(6)))),
+        "{told:?}"
+    );
+}
+
 #[test]
 fn a_gate_without_a_holder_or_an_asker_sends_nothing() {
     let mut bench = gate_bench::Bench::unlisted();
