--- /dev/null
+++ b/tests/ephemeral_fleet/entries.rs
@@ -0,0 +1,134 @@
+//! A turn of an entry: what it reads, decides and sends.
+
+use std::collections::HashMap;
+
+use rand::RngExt;
+use winghold::ephemeral::dispatcher::DispatchAction;
+use winghold::ephemeral::message::ToGate;
+use winghold::ephemeral::session::SessionId;
+use winghold::time::{Moment, micros};
+
+use super::{CALLER_WAITS_US, Connection, EntryIn, Fleet, route, spec};
+
+impl Fleet {
+    pub(super) fn entry_turn(&mut self, index: usize) {
+        let now = self.moment(index);
+        let frozen = self.entries[index]
+            .as_ref()
+            .is_none_or(|process| process.frozen_until_us > self.now_us);
+        if frozen {
+            return;
+        }
+        self.entry_reads(index, now);
+        let Some(process) = &mut self.entries[index] else {
+            return;
+        };
+        process.dispatcher.tick(now);
+        while let Some(event) = process.inbox.pop_front() {
+            match event {
+                EntryIn::Submit(waiter, id, count, estimate_us) => {
+                    let spec = spec(id, count, estimate_us);
+                    let (route, wait_us) = (route(id, 3), CALLER_WAITS_US);
+                    process.dispatcher.submit(now, waiter, spec, route, wait_us);
+                }
+                EntryIn::Gone(waiter, id) => process.dispatcher.waiter_gone(now, waiter, id),
+            }
+        }
+        if now.mono_us >= process.beat_us + micros(self.limits.beat) {
+            process.beat_us = now.mono_us;
+            process.dispatcher.beat();
+        }
+        let actions = process.dispatcher.take_actions(now);
+        self.carry_out_entry(index, actions);
+    }
+
+    pub(super) fn entry_reads(&mut self, index: usize, now: Moment) {
+        let mut lost = Vec::new();
+        for at in 0..self.connections.len() {
+            if self.connections[at].entry != index {
+                continue;
+            }
+            let gate = self.connections[at].gate;
+            let flows = self.reachable(index, gate) || self.gates[gate].is_none();
+            let Some(process) = &mut self.entries[index] else {
+                return;
+            };
+            let connection = &mut self.connections[at];
+            let link = &mut connection.to_entry;
+            while flows && let Some((at_us, sent_us, _)) = link.frames.front() {
+                if *at_us > self.now_us {
+                    break;
+                }
+                let age_us = link.clock.age_us(now, *sent_us);
+                let late = age_us > micros(self.limits.frame_age) && !self.without.frame_age;
+                let Some((.., messages)) = link.frames.pop_front() else {
+                    break;
+                };
+                if late {
+                    link.closed = true;
+                    connection.to_gate.closed = true;
+                    link.frames.clear();
+                    break;
+                }
+                process.dispatcher.heard(now, connection.entry_session);
+                for message in messages {
+                    process
+                        .dispatcher
+                        .message(now, connection.entry_session, message);
+                }
+            }
+            if link.closed && link.frames.is_empty() {
+                lost.push(connection.entry_session);
+            }
+        }
+        if let Some(process) = &mut self.entries[index] {
+            for session in lost {
+                process.dispatcher.disconnected(session);
+            }
+        }
+    }
+
+    pub(super) fn carry_out_entry(&mut self, index: usize, actions: Vec<DispatchAction>) {
+        let sent_us = self.moment(index).mono_us;
+        let mut outbox: HashMap<SessionId, Vec<ToGate>> = HashMap::new();
+        let mut redial = Vec::new();
+        for action in actions {
+            match action {
+                DispatchAction::Send { session, message } => {
+                    outbox.entry(session).or_default().push(message);
+                }
+                DispatchAction::Close(session) => {
+                    let of = |one: &Connection| one.entry == index && one.entry_session == session;
+                    self.connections.retain(|one| !one.silent || !of(one));
+                    self.close_connections(of, true);
+                }
+                DispatchAction::Redial(name) => redial.push(name),
+                DispatchAction::Reply { waiter, answer } => {
+                    self.answered(index, waiter, &answer);
+                }
+                DispatchAction::Learned(_) => {}
+            }
+        }
+        let at_us = self.now_us + self.rng.random_range(500..4_000);
+        for (session, messages) in outbox {
+            let connection = self.connections.iter_mut().find(|one| {
+                one.entry == index && one.entry_session == session && !one.to_gate.closed
+            });
+            if let Some(connection) = connection.filter(|one| !one.silent) {
+                let frame = (at_us, sent_us, messages);
+                connection.to_gate.frames.push_back(frame);
+            }
+        }
+        for name in redial {
+            self.redial(index, &name);
+        }
+    }
+
+    /// Opens another connection beside the present one, which may be dead.
+    pub(super) fn redial(&mut self, entry: usize, name: &str) {
+        let gate = (0..self.gates.len()).find(|gate| name == format!("gate-{gate}"));
+        if let Some(gate) = gate.filter(|gate| self.reachable(entry, *gate)) {
+            self.connect(entry, gate);
+        }
+    }
+}
--- /dev/null
+++ b/tests/ephemeral_fleet/gates.rs
@@ -0,0 +1,165 @@
+//! A turn of a gate: what its worker answers, what it reads, decides and sends.
+
+use std::collections::{HashMap, VecDeque};
+
+use rand::RngExt;
+use winghold::ephemeral::gate::GateAction;
+use winghold::ephemeral::message::ToEntry;
+use winghold::ephemeral::session::SessionId;
+use winghold::ephemeral::worker::{HoldCall, OrderError};
+use winghold::time::{Moment, micros};
+
+use super::{Answered, Connection, Fleet, HEARTBEAT_US};
+
+impl Fleet {
+    pub(super) fn gate_turn(&mut self, index: usize) {
+        let now = self.gate_moment(index);
+        let frozen = self.gates[index]
+            .as_ref()
+            .is_none_or(|process| process.frozen_until_us > self.now_us);
+        if frozen {
+            return;
+        }
+        self.report(index, now);
+        self.gate_answers(index, now);
+        self.gate_reads(index, now);
+        let Some(process) = &mut self.gates[index] else {
+            return;
+        };
+        process.gate.tick(now);
+        let actions = process.gate.take_actions(now);
+        self.carry_out_gate(index, actions);
+    }
+
+    pub(super) fn report(&mut self, index: usize, now: Moment) {
+        let now_us = self.now_us;
+        let worker = &self.workers[index];
+        let Some(process) = &mut self.gates[index] else {
+            return;
+        };
+        let due = now_us >= process.reported_us + HEARTBEAT_US;
+        if !due || !worker.up || worker.mute_until_us > now_us {
+            return;
+        }
+        process.reported_us = now_us;
+        let id = worker.id.clone();
+        let report = self.report_of(index, id);
+        if let Some(process) = &mut self.gates[index] {
+            process.gate.worker_report(now, report);
+        }
+    }
+
+    pub(super) fn gate_answers(&mut self, index: usize, now: Moment) {
+        let now_us = self.now_us;
+        let Some(process) = &mut self.gates[index] else {
+            return;
+        };
+        let worker = &mut self.workers[index];
+        let mut waiting = VecDeque::new();
+        while let Some((at_us, answer)) = process.answers.pop_front() {
+            let woken = matches!(&answer, Answered::Hold(_, call, true)
+                if worker.has_ended_since(call.acked_end));
+            if at_us > now_us && !woken {
+                waiting.push_back((at_us, answer));
+                continue;
+            }
+            match answer {
+                Answered::Start(run, answer) => process.gate.start_answered(now, run, answer),
+                Answered::Stop(run, answer) => process.gate.stop_answered(now, run, answer),
+                Answered::Hold(sent, call, answers) => {
+                    let same = call.worker.as_deref() == Some(worker.id.as_str());
+                    let answer = match (answers && worker.up, same) {
+                        (false, _) => Err(OrderError::Unanswered),
+                        (true, false) => Err(OrderError::OtherLife),
+                        (true, true) => Ok(worker.hold(
+                            now_us,
+                            &HoldCall {
+                                lease_until_ms: None,
+                                ..call.clone()
+                            },
+                        )),
+                    };
+                    process.gate.hold_answered(now, sent, &call, answer);
+                }
+            }
+        }
+        process.answers = waiting;
+    }
+
+    pub(super) fn gate_reads(&mut self, index: usize, now: Moment) {
+        let mut lost = Vec::new();
+        for at in 0..self.connections.len() {
+            if self.connections[at].gate != index {
+                continue;
+            }
+            let entry = self.connections[at].entry;
+            let flows = self.reachable(entry, index) || self.entries[entry].is_none();
+            let Some(process) = &mut self.gates[index] else {
+                return;
+            };
+            let connection = &mut self.connections[at];
+            let link = &mut connection.to_gate;
+            while flows && let Some((at_us, sent_us, _)) = link.frames.front() {
+                if *at_us > self.now_us {
+                    break;
+                }
+                let age_us = link.clock.age_us(now, *sent_us);
+                let late = age_us > micros(self.limits.frame_age) && !self.without.frame_age;
+                let Some((.., messages)) = link.frames.pop_front() else {
+                    break;
+                };
+                if late {
+                    link.closed = true;
+                    connection.to_entry.closed = true;
+                    link.frames.clear();
+                    break;
+                }
+                for message in messages {
+                    process.gate.message(now, connection.gate_session, message);
+                }
+                process.gate.heard(now, connection.gate_session);
+            }
+            if link.closed && link.frames.is_empty() {
+                lost.push(connection.gate_session);
+            }
+        }
+        if let Some(process) = &mut self.gates[index] {
+            for session in lost {
+                process.gate.session_closed(session);
+            }
+        }
+    }
+
+    pub(super) fn carry_out_gate(&mut self, index: usize, actions: Vec<GateAction>) {
+        let sent_us = self.gate_moment(index).mono_us;
+        let mut outbox: HashMap<SessionId, Vec<ToEntry>> = HashMap::new();
+        for action in actions {
+            match action {
+                GateAction::Send { session, message } => {
+                    outbox.entry(session).or_default().push(message);
+                }
+                GateAction::Close(session) => {
+                    let of = |one: &Connection| one.gate == index && one.gate_session == session;
+                    self.close_connections(of, true);
+                }
+                GateAction::Aim(_) => {}
+                GateAction::Start(call) => self.order_start(index, call),
+                GateAction::Stop(call) => self.order_stop(index, call.run, call.fence),
+                GateAction::Hold(call) => self.order_hold(index, call),
+            }
+        }
+        let at_us = self.now_us + self.rng.random_range(500..4_000);
+        for (session, messages) in outbox {
+            let connection = self.connections.iter_mut().find(|one| {
+                one.gate == index
+                    && one.gate_session == session
+                    && !one.to_entry.closed
+                    && !one.silent
+            });
+            if let Some(connection) = connection {
+                let frame = (at_us, sent_us, messages);
+                connection.to_entry.frames.push_back(frame);
+            }
+        }
+    }
+}
