--- a/tests/ephemeral_large_config.rs
+++ b/tests/ephemeral_large_config.rs
@@ -6,8 +6,9 @@
 //! connection that carries heartbeats and orders, and again with each new session.
 //! On 25 Mbit/s that is seconds of the link; heartbeats behind it came late, the
 //! sessions ended before the document had come, and the next ones began with it
-//! again. The store's answers waited in the same queue. Proved by the figures of a
-//! run: what entries sent was documents, and no gate ever had one.
+//! again. The store's answers waited in the same queue. Proved by a run in which only
+//! this was changed: of what callers were owed 0.996 was served in place of 0.133, and
+//! no request met an older configuration in place of 69.
 
 mod narrow_links;
 
