Failing tests: what a large fleet sends for its work

Cause: entries and gates are a full mesh of sessions. Each session beats both ways, work or none, and a gate sends its load to every entry at each change, so frames grow with entries times gates.

Ruled out: that it is the work's own messages. Orders, beginnings and ends are 5 frames a start at every size here; loads and heartbeats are the rest.

The change: a virtual fleet of any size (dispatchers, gates, workers; no network) that counts frames by kind, idle, under the load of the large deployment at 0.6 of the room, and after a loss of all power.

--- /dev/null
+++ b/tests/large_fleet/entries.rs
@@ -0,0 +1,171 @@
+//! The entries of the large fleet.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use winghold::code::ResultCode;
+use winghold::ephemeral::directory::GateRecord;
+use winghold::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
+use winghold::ephemeral::entry::dials::Dials;
+use winghold::ephemeral::job::{Constraints, JobId, JobSpec, Resources};
+use winghold::ephemeral::limits::Limits;
+use winghold::ephemeral::message::{ProcessId, RunEnd, ToEntry, ToGate};
+use winghold::ephemeral::session::SessionId;
+use winghold::logging;
+use winghold::time::{Moment, micros};
+
+use super::{Flight, JobKind, Kind, LargeFleet, STEP_US, TASK_CPU};
+
+/// How long callers wait.
+const CALLER_WAITS_US: u64 = 5_000_000;
+
+pub struct EntrySide {
+    pub dispatcher: Dispatcher,
+    dials: Dials,
+    beat_us: u64,
+    inbox: VecDeque<JobId>,
+}
+
+impl EntrySide {
+    pub fn new(now: Moment, me: ProcessId, limits: Limits, records: &[GateRecord]) -> EntrySide {
+        let mut dials = Dials::default();
+        dials.know(now, records.to_vec());
+        EntrySide {
+            dispatcher: Dispatcher::new(me, limits, logging::discard()),
+            dials,
+            beat_us: 0,
+            inbox: VecDeque::new(),
+        }
+    }
+
+    pub fn closed(&mut self, _now: Moment, session: SessionId) {
+        self.dispatcher.disconnected(session);
+        self.dials.lost(session);
+    }
+
+    fn submit_all(&mut self, now: Moment) {
+        while let Some(id) = self.inbox.pop_front() {
+            let kind = JobKind::of(id);
+            let spec = JobSpec {
+                id,
+                payload: "p".into(),
+                count: kind.tasks,
+                needs: Resources {
+                    cpu_milli: TASK_CPU,
+                    memory_mb: 64,
+                    accelerators: 0,
+                },
+                estimate_us: kind.run_us,
+                constraints: Constraints::default(),
+            };
+            let waiter = WaiterId(id.0);
+            self.dispatcher
+                .submit(now, waiter, spec, kind.route(), CALLER_WAITS_US);
+        }
+    }
+}
+
+impl LargeFleet {
+    pub(super) fn submit(&mut self, entry: usize, id: JobId) {
+        match &mut self.entries[entry] {
+            Some(side) => side.inbox.push_back(id),
+            None => self.counts.unknown += 1,
+        }
+    }
+
+    pub(super) fn entry_reads(&mut self, flight: Flight<ToEntry>) {
+        let now = self.now();
+        let Some((entry, _)) = self.sessions.get(&flight.session).copied() else {
+            return;
+        };
+        let Some(side) = &mut self.entries[entry] else {
+            return;
+        };
+        assert!(now.mono_us - flight.sent_us <= STEP_US);
+        side.dispatcher.heard(now, flight.session);
+        for message in flight.messages {
+            if matches!(&message, ToEntry::Ended { end, .. } if *end != RunEnd::Done) {
+                self.counts.elsewhere += 1;
+            }
+            side.dispatcher.message(now, flight.session, message);
+        }
+    }
+
+    pub(super) fn entry_turn(&mut self, index: usize) {
+        let now = self.now();
+        let beat = self.limits.beat;
+        let Some(side) = &mut self.entries[index] else {
+            return;
+        };
+        side.dispatcher.tick(now);
+        side.submit_all(now);
+        if now.mono_us >= side.beat_us + micros(beat) {
+            side.beat_us = now.mono_us;
+            side.dispatcher.beat();
+        }
+        let attempts = side.dials.attempts(now);
+        for attempt in attempts {
+            self.connect(index, &attempt.gate);
+        }
+        let Some(side) = &mut self.entries[index] else {
+            return;
+        };
+        let actions = side.dispatcher.take_actions(now);
+        self.carry_out_entry(index, actions);
+    }
+
+    fn connect(&mut self, entry: usize, name: &Arc<str>) {
+        let now = self.now();
+        let gate: usize = name.trim_start_matches("gate-").parse().expect("a number");
+        self.last_session += 1;
+        let session = SessionId(self.last_session);
+        if let Some(side) = &mut self.entries[entry]
+            && self.gates[gate].is_some()
+        {
+            self.sessions.insert(session, (entry, gate));
+            side.dials.connected(name, || session);
+            side.dispatcher.connected(now, name, session);
+        }
+    }
+
+    fn carry_out_entry(&mut self, index: usize, actions: Vec<DispatchAction>) {
+        let mut outbox: BTreeMap<SessionId, Vec<ToGate>> = BTreeMap::new();
+        for action in actions {
+            match action {
+                DispatchAction::Send { session, message } => {
+                    outbox.entry(session).or_default().push(message);
+                }
+                DispatchAction::Close(session) => self.close(session),
+                DispatchAction::Redial(name) => {
+                    if let Some(side) = &mut self.entries[index] {
+                        side.dials.doubt(&name);
+                    }
+                }
+                DispatchAction::Reply { answer, .. } => match answer.code {
+                    ResultCode::Complete => self.counts.served += 1,
+                    ResultCode::Overloaded => self.counts.refused += 1,
+                    _ => self.counts.unknown += 1,
+                },
+                DispatchAction::Learned(_) => {}
+            }
+        }
+        for (session, messages) in outbox {
+            self.count(messages.iter().map(kind_of).min());
+            let (at_us, sent_us) = (self.now_us + STEP_US, self.now_us);
+            self.to_gates.push_back(Flight {
+                at_us,
+                session,
+                sent_us,
+                messages,
+            });
+        }
+    }
+}
+
+fn kind_of(message: &ToGate) -> Kind {
+    match message {
+        ToGate::Hello { .. } => Kind::Hello,
+        ToGate::Beat => Kind::Beat,
+        _ => Kind::Order,
+    }
+}
