Figures of frames by kind, of store calls, of gates wanted, of late turns

Cause: that frames grew with entries times gates could not be read off any figure; it took a virtual fleet to count them. The same for calls to the store, and for an entry that is short of processor time.

Ruled out: a count for each frame when it goes out (a line of statsd a frame, 300 a second on an entry); they are summed and shown once a heartbeat.

The tests' large fleet counts by the same kinds.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -94,6 +94,7 @@
     tx: UnboundedSender<Event>,
     rx: UnboundedReceiver<Event>,
     leaving: bool,
+    shown_us: u64,
 }
 
 impl Agent {
@@ -115,6 +116,7 @@
             tx: tx.clone(),
             rx,
             leaving: false,
+            shown_us: 0,
             parts,
         };
         (agent, AgentHandle { events: tx })
@@ -141,6 +143,7 @@
             }
             self.gate.tick(now);
             self.act(now);
+            self.show_figures(now);
             if self.leaving && self.gate.idle() {
                 break;
             }
@@ -212,6 +215,14 @@
         }
     }
 
+    /// Shows the figures of now, once a heartbeat.
+    fn show_figures(&mut self, now: Moment) {
+        if now.mono_us >= self.shown_us + micros(self.parts.limits.beat) {
+            self.shown_us = now.mono_us;
+            self.sessions.show_counts(&self.parts.metrics);
+        }
+    }
+
     fn count(&self, message: &ToEntry) {
         let metrics = &self.parts.metrics;
         match message {
--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -13,6 +13,7 @@
 use crate::ephemeral::placement::GateView;
 use crate::ephemeral::session::SessionId;
 use crate::message::Answer;
+use crate::metrics::Metrics;
 use crate::time::{Moment, micros};
 
 /// Pause between two runs that try out a suspect worker.
@@ -241,6 +242,17 @@
         self.subset.know(now, records);
     }
 
+    /// Adds what is known of gates to the figures.
+    pub fn show_gates(&self, metrics: &Metrics) {
+        let (known, wanted) = self.subset.sizes();
+        let answered = self.gates.values().filter(|gate| gate.session.is_some());
+        metrics.gauge("gates_known", known as u64);
+        metrics.gauge("gates_wanted", wanted as u64);
+        metrics.gauge("sessions_open", answered.count() as u64);
+        metrics.gauge("gates_open", self.open_gates() as u64);
+        metrics.gauge("jobs_open", self.open_jobs() as u64);
+    }
+
     /// A gate could not be reached.
     pub fn unreachable(&mut self, gate: &Arc<str>) {
         self.subset.note(gate, false);
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -81,6 +81,9 @@
     rx: UnboundedReceiver<Event>,
     suspension: Suspension,
     shown_us: u64,
+    turned_us: u64,
+    /// How much later than asked for the loop turned, at most since figures were shown.
+    latest_turn: Duration,
 }
 
 impl Entry {
@@ -111,6 +114,8 @@
             rx,
             suspension: Suspension::new(parts.timer.now()),
             shown_us: 0,
+            turned_us: parts.timer.now().mono_us,
+            latest_turn: Duration::ZERO,
             parts,
         };
         (entry, handle)
@@ -127,6 +132,7 @@
             };
             let now = self.parts.timer.now();
             self.notice_suspension(now);
+            self.note_turn(now);
             self.dispatcher.tick(now);
             if let Some(event) = event {
                 self.handle(now, event);
@@ -179,6 +185,12 @@
         }
     }
 
+    fn note_turn(&mut self, now: Moment) {
+        let gap = Duration::from_micros(now.mono_us.saturating_sub(self.turned_us));
+        self.turned_us = now.mono_us;
+        self.latest_turn = self.latest_turn.max(gap.saturating_sub(TICK));
+    }
+
     fn handle(&mut self, now: Moment, event: Event) {
         match event {
             Event::Submit(submit) => self.submit(now, *submit),
@@ -285,9 +297,10 @@
     fn show_figures(&mut self, now: Moment) {
         if now.mono_us >= self.shown_us + micros(self.parts.limits.beat) {
             self.shown_us = now.mono_us;
-            let (gates, jobs) = (self.dispatcher.open_gates(), self.dispatcher.open_jobs());
-            self.parts.metrics.gauge("gates_open", gates as u64);
-            self.parts.metrics.gauge("jobs_open", jobs as u64);
+            self.sessions.show_counts(&self.parts.metrics);
+            self.dispatcher.show_gates(&self.parts.metrics);
+            let late_ms = std::mem::take(&mut self.latest_turn).as_millis() as u64;
+            self.parts.metrics.time("turn_late_ms", late_ms);
         }
     }
 
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::ephemeral::frame_counts::{FrameKind, Purpose};
 use crate::ephemeral::job::{Resources, RunId, Urgency};
 use crate::ephemeral::session::SessionId;
 use crate::metrics::Metrics;
@@ -134,6 +135,19 @@
     },
 }
 
+impl Purpose for ToGate {
+    fn kind(&self) -> FrameKind {
+        match self {
+            ToGate::Hello { .. } => FrameKind::Hello,
+            ToGate::Start(_) | ToGate::Stop { .. } => FrameKind::Order,
+            ToGate::Beat => FrameKind::Beat,
+            ToGate::ConfigVersion(_) | ToGate::WantConfig(_) | ToGate::ConfigPart { .. } => {
+                FrameKind::Config
+            }
+        }
+    }
+}
+
 /// A run that an entry had given to a gate before their session broke.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct OpenRun {
@@ -212,6 +226,19 @@
     ConfigPart(ConfigPart),
 }
 
+impl Purpose for ToEntry {
+    fn kind(&self) -> FrameKind {
+        match self {
+            ToEntry::Hello { .. } => FrameKind::Hello,
+            ToEntry::Load(_) => FrameKind::Load,
+            ToEntry::Ended { .. } | ToEntry::Began { .. } => FrameKind::Report,
+            ToEntry::ConfigVersion(_) | ToEntry::WantConfig { .. } | ToEntry::ConfigPart(_) => {
+                FrameKind::Config
+            }
+        }
+    }
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunEnd {
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -13,6 +13,7 @@
 //! - [`subset`]: which gates an entry has sessions with.
 //! - [`message`], [`session`]: what entries and gates say, and how it travels;
 //!   [`suspension`]: what a process does that stood still.
+//!   [`frame_counts`]: how many frames of which kind.
 //! - [`directory`]: how processes find one another through the store;
 //!   [`follower`]: keys of the store, followed; [`backoff`]: how often what is
 //!   away is tried.
@@ -25,6 +26,7 @@
 pub mod dispatcher;
 pub mod entry;
 pub mod follower;
+pub mod frame_counts;
 pub mod gate;
 pub mod job;
 pub mod limits;
--- a/src/ephemeral/session.rs
+++ b/src/ephemeral/session.rs
@@ -23,6 +23,7 @@
 use tokio_stream::StreamExt;
 use tokio_util::codec::{Encoder, FramedRead, LengthDelimitedCodec};
 
+use crate::ephemeral::frame_counts::{FrameCounts, Purpose};
 use crate::ephemeral::message::Frame;
 use crate::metrics::Metrics;
 use crate::time::{Moment, Timer};
@@ -109,12 +110,13 @@
     timer: Timer,
     tell: Tell<R>,
     open: HashMap<SessionId, Open<S>>,
+    counts: FrameCounts,
     last: u64,
 }
 
 impl<S, R> Sessions<S, R>
 where
-    S: Serialize + Send + 'static,
+    S: Purpose + Serialize + Send + 'static,
     R: DeserializeOwned + Send + 'static,
 {
     /// No sessions; `tell` hears what happens on later ones, and says whether it
@@ -127,6 +129,7 @@
             timer,
             tell: Arc::new(tell),
             open: HashMap::new(),
+            counts: FrameCounts::default(),
             last: 0,
         }
     }
@@ -170,6 +173,11 @@
         }
     }
 
+    /// Adds the frames that were sent to the figures.
+    pub fn show_counts(&mut self, metrics: &Metrics) {
+        self.counts.show(metrics);
+    }
+
     /// Sends what collected; returns the sessions whose peers do not keep up,
     /// which are closed.
     pub fn flush(&mut self) -> Vec<SessionId> {
@@ -179,6 +187,7 @@
                 continue;
             }
             let messages = std::mem::take(&mut open.outbox);
+            self.counts.note(&messages);
             if open.frames.try_send(messages).is_err() {
                 stuck.push(*session);
             }
--- a/src/ephemeral/subset.rs
+++ b/src/ephemeral/subset.rs
@@ -235,6 +235,11 @@
         }
     }
 
+    /// Number of gates that are known, and of those that sessions are wanted with.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.candidates.len(), self.wanted.len())
+    }
+
     /// Whether the entry wants a session with this gate.
     pub fn wants(&self, gate: &str) -> bool {
         self.wanted.contains(gate)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod code;
 pub mod config;
 pub mod config_store;
+pub mod counted_store;
 pub mod daemon;
 pub mod document;
 pub mod entry;
--- a/src/store.rs
+++ b/src/store.rs
@@ -71,6 +71,20 @@
     },
 }
 
+impl StoreRequest {
+    /// Its name among the metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            StoreRequest::Get { .. } => "get",
+            StoreRequest::Watch { .. } => "watch",
+            StoreRequest::Put { .. } => "put",
+            StoreRequest::Grant { .. } => "grant",
+            StoreRequest::Renew { .. } => "renew",
+            StoreRequest::Revoke { .. } => "revoke",
+        }
+    }
+}
+
 /// One key of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreEntry {
--- a/tests/ephemeral_directory.rs
+++ b/tests/ephemeral_directory.rs
@@ -83,15 +83,7 @@
     }
 
     fn answer(&mut self, req: &StoreRequest) -> Result<StoreReply, StoreError> {
-        let kind = match req {
-            StoreRequest::Get { .. } => "get",
-            StoreRequest::Watch { .. } => "watch",
-            StoreRequest::Put { .. } => "put",
-            StoreRequest::Grant { .. } => "grant",
-            StoreRequest::Renew { .. } => "renew",
-            StoreRequest::Revoke { .. } => "revoke",
-        };
-        *self.calls.entry(kind).or_default() += 1;
+        *self.calls.entry(req.name()).or_default() += 1;
         match req {
             StoreRequest::Get { prefix } => {
                 let entries = self.entries.values().map(|(entry, _)| entry.clone());
--- a/tests/large_fleet/entries.rs
+++ b/tests/large_fleet/entries.rs
@@ -7,6 +7,7 @@
 use winghold::ephemeral::directory::GateRecord;
 use winghold::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
 use winghold::ephemeral::entry::dials::Dials;
+use winghold::ephemeral::frame_counts::kind_of;
 use winghold::ephemeral::job::{Constraints, JobId, JobSpec, Resources};
 use winghold::ephemeral::limits::Limits;
 use winghold::ephemeral::message::{ProcessId, RunEnd, ToEntry, ToGate};
@@ -14,7 +15,7 @@
 use winghold::logging;
 use winghold::time::Moment;
 
-use super::{Flight, JobKind, Kind, LargeFleet, STEP_US, TASK_CPU};
+use super::{Flight, JobKind, LargeFleet, STEP_US, TASK_CPU};
 
 /// How long callers wait.
 const CALLER_WAITS_US: u64 = 5_000_000;
@@ -148,7 +149,7 @@
             }
         }
         for (session, messages) in outbox {
-            self.count(messages.iter().map(kind_of).min());
+            self.count(kind_of(&messages));
             let (at_us, sent_us) = (self.now_us + STEP_US, self.now_us);
             self.to_gates.push_back(Flight {
                 at_us,
@@ -159,11 +160,3 @@
         }
     }
 }
-
-fn kind_of(message: &ToGate) -> Kind {
-    match message {
-        ToGate::Hello { .. } => Kind::Hello,
-        ToGate::Beat => Kind::Beat,
-        _ => Kind::Order,
-    }
-}
--- a/tests/large_fleet/gates.rs
+++ b/tests/large_fleet/gates.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use winghold::ephemeral::frame_counts::kind_of;
 use winghold::ephemeral::gate::{Gate, GateAction};
 use winghold::ephemeral::job::RunId;
 use winghold::ephemeral::limits::Limits;
@@ -11,7 +12,7 @@
 use winghold::logging;
 use winghold::time::Moment;
 
-use super::{Flight, JobKind, Kind, LargeFleet, STEP_US};
+use super::{Flight, JobKind, LargeFleet, STEP_US};
 
 /// Pause between two reports of a worker.
 const REPORT_US: u64 = 1_500_000;
@@ -145,7 +146,7 @@
             }
         }
         for (session, messages) in outbox {
-            self.count(messages.iter().map(kind_of).min());
+            self.count(kind_of(&messages));
             self.to_entries.push_back(Flight {
                 at_us: now.mono_us + STEP_US,
                 session,
@@ -161,11 +162,3 @@
         }
     }
 }
-
-fn kind_of(message: &ToEntry) -> Kind {
-    match message {
-        ToEntry::Hello { .. } => Kind::Hello,
-        ToEntry::Load(_) => Kind::Load,
-        _ => Kind::Report,
-    }
-}
--- a/tests/large_fleet/mod.rs
+++ b/tests/large_fleet/mod.rs
@@ -14,6 +14,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use winghold::ephemeral::directory::{GateRecord, WorkerRecord};
+use winghold::ephemeral::frame_counts::FrameKind;
 use winghold::ephemeral::job::{JobId, Resources};
 use winghold::ephemeral::limits::Limits;
 use winghold::ephemeral::message::{ProcessId, ToEntry, ToGate, WorkerTraits};
@@ -77,16 +78,6 @@
     }
 }
 
-/// Frames by what they carry first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
-    Hello,
-    Order,
-    Report,
-    Load,
-    Beat,
-}
-
 /// A frame under way.
 struct Flight<M> {
     at_us: u64,
@@ -98,7 +89,7 @@
 /// Counts of a stretch of time.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
-    pub frames: BTreeMap<Kind, u64>,
+    pub frames: BTreeMap<FrameKind, u64>,
     pub starts: u64,
     pub served: u64,
     pub refused: u64,
@@ -262,7 +253,7 @@
         }
     }
 
-    fn count(&mut self, kind: Option<Kind>) {
+    fn count(&mut self, kind: Option<FrameKind>) {
         if let Some(kind) = kind {
             *self.counts.frames.entry(kind).or_default() += 1;
         }
