Let a gate sleep until something happens or is due

Cause: an agent turned its loop every 10 ms, work or none; 240 of them wake up 24,000 times a second for nothing, more often than for all frames of the fleet.

Ruled out: a longer turn for all (silence is found that much later, and the sum that keeps runs apart has 92 ms to spare).

The change: the gate says how long its loop may wait: 10 ms while something waits for room, is on its way to the worker or back, or the worker does not answer; else until the next heartbeat or the moment at which an entry counts as gone, 50 ms at most.

Tests: pauses by what is there; the runs of a silent entry are stopped between 455 and 457 ms after it was heard, with nothing else happening.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -21,8 +21,6 @@
 use crate::metrics::Metrics;
 use crate::time::{Moment, Timer, micros};
 
-/// How often the gate is told that time has passed.
-const TICK: Duration = Duration::from_millis(10);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Pause before the worker is asked again after it did not answer a hold.
@@ -124,13 +122,11 @@
 
     /// Runs until it was asked to leave and nothing runs any more.
     pub async fn run(mut self) {
-        let mut ticks = self.parts.timer.every(TICK);
         let mut suspension = Suspension::new(self.parts.timer.now());
         loop {
-            let event = tokio::select! {
-                event = self.rx.recv() => event,
-                tick = ticks.recv() => tick.and(None),
-            };
+            let pause = self.gate.longest_pause(self.parts.timer.now());
+            let timer = self.parts.timer.clone();
+            let event = timer.within(pause, self.rx.recv()).await.flatten();
             let now = self.parts.timer.now();
             if let Some(gap) = suspension.turn(now) {
                 warn!(self.parts.log, "process stood still"; "gap_ms" => gap.as_millis() as u64);
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -16,6 +16,7 @@
 mod progress;
 mod queue;
 mod sessions;
+mod turns;
 mod worker_life;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -505,3 +505,32 @@
     let loads = loads_alone(&bench);
     assert!((2..=3).contains(&loads), "{loads} in 3 s");
 }
+
+#[test]
+fn a_gate_waits_for_events_and_for_what_is_due() {
+    let mut bench = Bench::ready();
+    bench.pass(10);
+    assert_eq!(bench.gate.longest_pause(bench.now).as_millis(), 50);
+    bench.order(run(1), 1_000, 0);
+    assert_eq!(bench.gate.longest_pause(bench.now).as_millis(), 10);
+    bench.started(run(1), Ok(StartReply::Running));
+    assert_eq!(bench.gate.longest_pause(bench.now).as_millis(), 50);
+    bench.order(run(2), 1_000, 500);
+    assert_eq!(bench.gate.longest_pause(bench.now).as_millis(), 10);
+}
+
+/// The runs of an entry that falls silent are stopped on time, whatever else happens.
+#[test]
+fn a_gate_wakes_up_when_an_entry_falls_silent() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 1_000, 0);
+    bench.started(run(1), Ok(StartReply::Running));
+    let began_us = bench.now.mono_us;
+    while bench.stops().is_empty() {
+        let pause = bench.gate.longest_pause(bench.now);
+        bench.now.mono_us += pause.as_micros() as u64;
+        bench.pass(0);
+    }
+    let took_ms = (bench.now.mono_us - began_us) / MS;
+    assert!((455..=457).contains(&took_ms), "{took_ms} ms");
+}
