Part the connections of the tests' fake fleet; one way to read a link

The change: connections.rs holds links and connections and the one reading of a frame; what a gate tells and when it turns is tested in a file of its own.

--- a/tests/ephemeral_fleet/entries.rs
+++ b/tests/ephemeral_fleet/entries.rs
@@ -6,9 +6,10 @@
 use winghold::ephemeral::dispatcher::DispatchAction;
 use winghold::ephemeral::message::ToGate;
 use winghold::ephemeral::session::SessionId;
-use winghold::time::{Moment, micros};
+use winghold::time::Moment;
 
-use super::{CALLER_WAITS_US, Connection, EntryIn, Fleet, route, spec};
+use super::connections::{Connection, Read};
+use super::{CALLER_WAITS_US, EntryIn, Fleet, route, spec};
 
 impl Fleet {
     pub(super) fn entry_turn(&mut self, index: usize) {
@@ -40,6 +41,7 @@
 
     pub(super) fn entry_reads(&mut self, index: usize, now: Moment) {
         let mut lost = Vec::new();
+        let (now_us, most_age_us) = (self.now_us, self.most_age_us());
         for at in 0..self.connections.len() {
             if self.connections[at].entry != index {
                 continue;
@@ -51,21 +53,11 @@
             };
             let connection = &mut self.connections[at];
             let link = &mut connection.to_entry;
-            while flows && let Some((at_us, sent_us, _)) = link.frames.front() {
-                if *at_us > self.now_us {
-                    break;
-                }
-                let age_us = link.clock.age_us(now, *sent_us);
-                let late = age_us > micros(self.limits.frame_age) && !self.without.frame_age;
-                let Some((.., messages)) = link.frames.pop_front() else {
-                    break;
-                };
-                if late {
-                    link.closed = true;
+            while flows && let Some(read) = link.read(now_us, now, most_age_us) {
+                let Read::Messages(messages) = read else {
                     connection.to_gate.closed = true;
-                    link.frames.clear();
                     break;
-                }
+                };
                 process.dispatcher.heard(now, connection.entry_session);
                 for message in messages {
                     process
--- a/tests/ephemeral_fleet/gates.rs
+++ b/tests/ephemeral_fleet/gates.rs
@@ -7,9 +7,10 @@
 use winghold::ephemeral::message::ToEntry;
 use winghold::ephemeral::session::SessionId;
 use winghold::ephemeral::worker::{HoldCall, OrderError};
-use winghold::time::{Moment, micros};
+use winghold::time::Moment;
 
-use super::{Answered, Connection, Fleet, HEARTBEAT_US};
+use super::connections::{Connection, Read};
+use super::{Answered, Fleet, HEARTBEAT_US};
 
 impl Fleet {
     pub(super) fn gate_turn(&mut self, index: usize) {
@@ -88,6 +89,7 @@
 
     pub(super) fn gate_reads(&mut self, index: usize, now: Moment) {
         let mut lost = Vec::new();
+        let (now_us, most_age_us) = (self.now_us, self.most_age_us());
         for at in 0..self.connections.len() {
             if self.connections[at].gate != index {
                 continue;
@@ -99,21 +101,11 @@
             };
             let connection = &mut self.connections[at];
             let link = &mut connection.to_gate;
-            while flows && let Some((at_us, sent_us, _)) = link.frames.front() {
-                if *at_us > self.now_us {
-                    break;
-                }
-                let age_us = link.clock.age_us(now, *sent_us);
-                let late = age_us > micros(self.limits.frame_age) && !self.without.frame_age;
-                let Some((.., messages)) = link.frames.pop_front() else {
-                    break;
-                };
-                if late {
-                    link.closed = true;
+            while flows && let Some(read) = link.read(now_us, now, most_age_us) {
+                let Read::Messages(messages) = read else {
                     connection.to_entry.closed = true;
-                    link.frames.clear();
                     break;
-                }
+                };
                 for message in messages {
                     process.gate.message(now, connection.gate_session, message);
                 }
--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -8,6 +8,7 @@
 #![allow(dead_code)]
 
 mod callers;
+mod connections;
 mod entries;
 mod gates;
 mod orders;
@@ -17,15 +18,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use connections::Connection;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use winghold::ephemeral::dispatcher::{Dispatcher, WaiterId};
 use winghold::ephemeral::gate::Gate;
 use winghold::ephemeral::job::{Constraints, JobId, JobSpec, Resources, RunId};
 use winghold::ephemeral::limits::Limits;
-use winghold::ephemeral::message::{ProcessId, ToEntry, ToGate};
+use winghold::ephemeral::message::ProcessId;
 use winghold::ephemeral::routes::Route;
-use winghold::ephemeral::session::{FrameClock, SessionId};
 use winghold::ephemeral::worker::{HoldCall, OrderError, StartAnswer, StartCall, WorkerReport};
 use winghold::logging;
 use winghold::time::Moment;
@@ -119,34 +120,6 @@
     Stop(usize, RunId, u64),
 }
 
-struct Link<M> {
-    frames: VecDeque<(u64, u64, Vec<M>)>,
-    clock: FrameClock,
-    /// The receiver may still read what is in its buffer.
-    closed: bool,
-}
-
-impl<M> Default for Link<M> {
-    fn default() -> Self {
-        Link {
-            frames: VecDeque::new(),
-            clock: FrameClock::default(),
-            closed: false,
-        }
-    }
-}
-
-struct Connection {
-    entry: usize,
-    gate: usize,
-    entry_session: SessionId,
-    gate_session: SessionId,
-    to_gate: Link<ToGate>,
-    to_entry: Link<ToEntry>,
-    /// Carries nothing any more, not even its end, while a new one would work.
-    silent: bool,
-}
-
 /// What a caller knows of its job.
 #[derive(Clone, Debug)]
 struct Caller {
@@ -325,42 +298,6 @@
         }
     }
 
-    pub fn reset_connections(&mut self, entry: usize) {
-        self.close_connections(|connection| connection.entry == entry, true);
-    }
-
-    /// An entry closes its session with a gate where it has no work, and opens none
-    /// until [`Fleet::join`].
-    pub fn part(&mut self, entry: usize, gate: usize) {
-        if self.has_work(entry, gate) {
-            return;
-        }
-        self.apart.insert((entry, gate));
-        self.close_connections(|one| (one.entry, one.gate) == (entry, gate), true);
-    }
-
-    /// An entry has sessions with all gates again.
-    pub fn join(&mut self, entry: usize) {
-        self.apart.retain(|(parted, _)| *parted != entry);
-    }
-
-    /// Whether an entry has work at a gate: it knows no records, and wants sessions
-    /// for that only.
-    fn has_work(&self, entry: usize, gate: usize) -> bool {
-        let process = self.entries[entry].as_ref();
-        process.is_some_and(|process| process.dispatcher.wants(&format!("gate-{gate}")))
-    }
-
-    /// Every connection of an entry goes dead without a word.
-    pub fn silence_connections(&mut self, entry: usize) {
-        let of_entry = self.connections.iter_mut().filter(|one| one.entry == entry);
-        for connection in of_entry {
-            connection.silent = true;
-            connection.to_gate.frames.clear();
-            connection.to_entry.frames.clear();
-        }
-    }
-
     /// A report of a worker's life arrives that was sent before its last crash.
     pub fn late_report(&mut self, index: usize) {
         let now = self.gate_moment(index);
@@ -402,21 +339,6 @@
         }
     }
 
-    /// Closes connections; with a reset what the peers have not read is lost. The
-    /// end of a dead connection does not reach its other side.
-    fn close_connections(&mut self, which: impl Fn(&Connection) -> bool, reset: bool) {
-        let buffered = self.rng.random_bool(0.5);
-        let alive = self.connections.iter_mut().filter(|one| !one.silent);
-        for connection in alive.filter(|one| which(one)) {
-            connection.to_gate.closed = true;
-            connection.to_entry.closed = true;
-            if reset && !buffered {
-                connection.to_gate.frames.clear();
-                connection.to_entry.frames.clear();
-            }
-        }
-    }
-
     pub fn run_for(&mut self, span_us: u64) {
         let until_us = self.now_us + span_us;
         while self.now_us < until_us {
@@ -439,63 +361,6 @@
         }
     }
 
-    fn reachable(&self, entry: usize, gate: usize) -> bool {
-        let up = |until_us: u64| until_us <= self.now_us;
-        let entry = self.entries[entry].as_ref();
-        let gate = self.gates[gate].as_ref();
-        entry.is_some_and(|process| up(process.cut_until_us))
-            && gate.is_some_and(|process| up(process.cut_until_us))
-    }
-
-    /// Entries connect to gates they have no connection to.
-    fn dial(&mut self) {
-        for entry in 0..self.entries.len() {
-            for gate in 0..self.gates.len() {
-                let awake = self.entries[entry]
-                    .as_ref()
-                    .is_some_and(|process| process.frozen_until_us <= self.now_us);
-                let open = self
-                    .connections
-                    .iter()
-                    .any(|one| (one.entry, one.gate) == (entry, gate) && !one.to_entry.closed);
-                let wanted = !self.apart.contains(&(entry, gate)) || self.has_work(entry, gate);
-                if awake && !open && wanted && self.reachable(entry, gate) {
-                    self.connect(entry, gate);
-                }
-            }
-        }
-    }
-
-    fn connect(&mut self, entry: usize, gate: usize) {
-        let now = self.moment(entry);
-        let (Some(caller), Some(called)) = (&mut self.entries[entry], &mut self.gates[gate]) else {
-            return;
-        };
-        caller.sessions += 1;
-        called.sessions += 1;
-        let entry_session = SessionId(caller.sessions);
-        let connection = Connection {
-            entry,
-            gate,
-            entry_session,
-            gate_session: SessionId(called.sessions),
-            to_gate: Link::default(),
-            to_entry: Link::default(),
-            silent: false,
-        };
-        self.connections.push(connection);
-        let name: Arc<str> = format!("gate-{gate}").into();
-        caller.dispatcher.connected(now, &name, entry_session);
-    }
-
-    fn drop_closed(&mut self) {
-        self.connections.retain(|connection| {
-            let read =
-                connection.to_gate.frames.is_empty() && connection.to_entry.frames.is_empty();
-            !(connection.to_gate.closed && connection.to_entry.closed && read)
-        });
-    }
-
     fn check(&mut self) {
         for worker in &self.workers {
             let used = worker.running().count() as u64 * CPU;
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -5,7 +5,7 @@
 use gate_bench::*;
 use winghold::ephemeral::gate::GateAction;
 use winghold::ephemeral::job::{RunId, Urgency};
-use winghold::ephemeral::message::{NotRunReason, OpenRun, RunEnd, ToEntry, ToGate};
+use winghold::ephemeral::message::{NotRunReason, OpenRun, RunEnd, ToGate};
 use winghold::ephemeral::worker::{HoldCall, HoldReply, OrderError, StartReply, WorkerEnd};
 
 #[test]
@@ -463,74 +463,3 @@
     assert_eq!(load.urgent_queue.cpu_milli, 300);
     assert_eq!(load.queue.cpu_milli, 700);
 }
-
-/// A start that waits for room is confirmed soon: its entry would take the connection for
-/// dead otherwise, and dial again.
-#[test]
-fn a_start_that_waits_for_room_is_confirmed_within_two_turns() {
-    let mut bench = Bench::ready();
-    bench.order(run(1), 1_000, 0);
-    bench.started(run(1), Ok(StartReply::Running));
-    bench.pass(1);
-    bench.actions.clear();
-    bench.order(run(2), 1_000, 500);
-    bench.pass(10);
-    bench.pass(10);
-    assert_eq!(bench.last_load().seen, 2);
-}
-
-/// Loads that went to an entry besides what it was told anyway.
-fn loads_alone(bench: &Bench) -> usize {
-    let loads = bench.actions.iter().filter(|action| {
-        matches!(
-            action,
-            GateAction::Send {
-                message: ToEntry::Load(_),
-                ..
-            }
-        )
-    });
-    loads.count()
-}
-
-#[test]
-fn an_entry_without_work_is_told_the_load_rarely() {
-    let mut bench = Bench::ready();
-    bench.pass(10);
-    bench.actions.clear();
-    for _ in 0..300 {
-        bench.gate.heard(bench.now, ENTRY);
-        bench.pass(10);
-    }
-    let loads = loads_alone(&bench);
-    assert!((2..=3).contains(&loads), "{loads} in 3 s");
-}
-
-#[test]
-fn a_gate_waits_for_events_and_for_what_is_due() {
-    let mut bench = Bench::ready();
-    bench.pass(10);
-    assert_eq!(bench.gate.longest_pause(bench.now).as_millis(), 50);
-    bench.order(run(1), 1_000, 0);
-    assert_eq!(bench.gate.longest_pause(bench.now).as_millis(), 10);
-    bench.started(run(1), Ok(StartReply::Running));
-    assert_eq!(bench.gate.longest_pause(bench.now).as_millis(), 50);
-    bench.order(run(2), 1_000, 500);
-    assert_eq!(bench.gate.longest_pause(bench.now).as_millis(), 10);
-}
-
-/// The runs of an entry that falls silent are stopped on time, whatever else happens.
-#[test]
-fn a_gate_wakes_up_when_an_entry_falls_silent() {
-    let mut bench = Bench::ready();
-    bench.order(run(1), 1_000, 0);
-    bench.started(run(1), Ok(StartReply::Running));
-    let began_us = bench.now.mono_us;
-    while bench.stops().is_empty() {
-        let pause = bench.gate.longest_pause(bench.now);
-        bench.now.mono_us += pause.as_micros() as u64;
-        bench.pass(0);
-    }
-    let took_ms = (bench.now.mono_us - began_us) / MS;
-    assert!((455..=457).contains(&took_ms), "{took_ms} ms");
-}
