Forget what was noted of gates that are gone; a test near the limit of the room

Cause: a gate that was away when its record went for good was remembered as away for the life of the entry (one name each); found by reading.

The change: what is noted of a gate goes with it. tests/ephemeral_heavy_load.rs plays 12 entries and 70 gates at 0.82, 0.94 and 1.13 of the room.

--- a/src/ephemeral/subset.rs
+++ b/src/ephemeral/subset.rs
@@ -187,11 +187,7 @@
         }
         self.changed = false;
         self.chosen_us = now.mono_us;
-        self.demands.retain(|_, demand| !demand.is_past(now));
-        self.candidates.retain(|_, candidate| {
-            let missing = candidate.missing_us;
-            missing.is_none_or(|since_us| now.mono_us <= since_us + micros(MISSING))
-        });
+        self.forget_old(now);
         let mut wanted = HashSet::new();
         for kind in self.kinds() {
             let demand = self.demands.get(&kind);
@@ -201,7 +197,19 @@
         self.wanted = wanted;
     }
 
-    /// Kinds that jobs were asked for of, and those of all services.
+    /// Forgets gates without a record, and kinds of jobs that do not come any more.
+    fn forget_old(&mut self, now: Moment) {
+        self.demands.retain(|_, demand| !demand.is_past(now));
+        let gone = self.candidates.extract_if(.., |_, candidate| {
+            let missing = candidate.missing_us;
+            missing.is_some_and(|since_us| now.mono_us > since_us + micros(MISSING))
+        });
+        for (_, candidate) in gone {
+            self.away.remove(&candidate.name);
+        }
+    }
+
+    /// The kinds of recent jobs, and one for each service.
     fn kinds(&self) -> BTreeSet<JobKind> {
         let workers = self
             .candidates
--- /dev/null
+++ b/tests/ephemeral_heavy_load.rs
@@ -0,0 +1,40 @@
+//! A fleet near the limit of its room, and above it.
+//!
+//! The pattern: for seconds, callers ask for nearly as much as all workers can do, or a
+//! seventh more. An entry that knows too many gates, and each by a load that all others
+//! have heard as well, sends where everyone sends and is turned away, until its jobs are
+//! late. The grounds: at a load of 1.59 all workers are full, if nothing is ever idle
+//! between two runs. With sessions between all of 12 entries and 70 gates, 0.98 and 0.80
+//! of the jobs were in time at 0.82 and 0.94 of that, 9,200 to 9,600 runs of some 4,200
+//! had to go elsewhere above it, and up to 11 jobs ended as unknown.
+
+mod ephemeral_fleet;
+mod large_fleet;
+
+use large_fleet::{Counts, LargeFleet};
+
+const SECOND_US: u64 = 1_000_000;
+/// Load at which workers would be full without a break.
+const FULL: f64 = 1.59;
+
+fn at_load(load: f64) -> Counts {
+    let mut fleet = LargeFleet::new(12, 70);
+    fleet.run(2 * SECOND_US, 0.0);
+    fleet.run(2 * SECOND_US, load);
+    let counts = fleet.run(2 * SECOND_US, load);
+    println!("{load}: {:.3} in time, {counts:?}", counts.in_time());
+    counts
+}
+
+#[test]
+fn nearly_all_are_served_in_time_while_there_is_room() {
+    assert!(at_load(FULL * 0.82).in_time() > 0.99);
+    assert!(at_load(FULL * 0.94).in_time() > 0.93);
+}
+
+#[test]
+fn above_the_room_runs_go_elsewhere_once_and_not_on_and_on() {
+    let counts = at_load(FULL * 1.13);
+    assert!(counts.elsewhere < counts.starts * 5 / 4, "{counts:?}");
+    assert!(counts.unknown * 100 < counts.served, "{counts:?}");
+}
--- a/tests/large_fleet/entries.rs
+++ b/tests/large_fleet/entries.rs
@@ -68,6 +68,7 @@
 
 impl LargeFleet {
     pub(super) fn submit(&mut self, entry: usize, id: JobId) {
+        self.open.insert(id, self.now_us);
         match &mut self.entries[entry] {
             Some(side) => side.inbox.push_back(id),
             None => self.counts.unknown += 1,
@@ -125,6 +126,19 @@
         }
     }
 
+    fn answered(&mut self, id: JobId, code: ResultCode) {
+        let came_us = self.open.remove(&id).unwrap_or(self.now_us);
+        let late = self.now_us > came_us + JobKind::of(id).objective_us();
+        match code {
+            ResultCode::Complete => {
+                self.counts.served += 1;
+                self.counts.late += u64::from(late);
+            }
+            ResultCode::Overloaded => self.counts.refused += 1,
+            _ => self.counts.unknown += 1,
+        }
+    }
+
     fn carry_out_entry(&mut self, index: usize, actions: Vec<DispatchAction>) {
         let mut outbox: BTreeMap<SessionId, Vec<ToGate>> = BTreeMap::new();
         for action in actions {
@@ -140,11 +154,9 @@
                         side.dials.doubt(&name);
                     }
                 }
-                DispatchAction::Reply { answer, .. } => match answer.code {
-                    ResultCode::Complete => self.counts.served += 1,
-                    ResultCode::Overloaded => self.counts.refused += 1,
-                    _ => self.counts.unknown += 1,
-                },
+                DispatchAction::Reply { waiter, answer } => {
+                    self.answered(JobId(waiter.0), answer.code);
+                }
                 DispatchAction::Learned(_) => {}
             }
         }
--- a/tests/large_fleet/mod.rs
+++ b/tests/large_fleet/mod.rs
@@ -5,6 +5,8 @@
 //! fleet has no failures but the loss of all power; [`super::ephemeral_fleet`] plays
 //! the others at a small size.
 
+#![allow(dead_code)]
+
 mod entries;
 mod gates;
 
@@ -63,6 +65,12 @@
         KINDS[(job.0 % KINDS.len() as u64) as usize]
     }
 
+    /// Time in which a job is to be answered.
+    fn objective_us(self) -> u64 {
+        let route = self.route();
+        (self.run_us as f64 * route.stretch) as u64 + route.slack_us
+    }
+
     fn route(self) -> Arc<Route> {
         Arc::new(Route {
             name: format!("r{}", self.priority).into(),
@@ -92,6 +100,8 @@
     pub frames: BTreeMap<FrameKind, u64>,
     pub starts: u64,
     pub served: u64,
+    /// Of these, answered after the objective.
+    pub late: u64,
     pub refused: u64,
     pub unknown: u64,
     /// Runs of tasks that had to go elsewhere.
@@ -103,6 +113,12 @@
         self.frames.values().sum()
     }
 
+    /// Part of the answered jobs that met their objective.
+    pub fn in_time(&self) -> f64 {
+        let all = self.served + self.refused + self.unknown;
+        (self.served - self.late) as f64 / all.max(1) as f64
+    }
+
     pub fn frames_per_start(&self) -> f64 {
         self.all_frames() as f64 / self.starts.max(1) as f64
     }
@@ -126,6 +142,8 @@
     lives: u64,
     last_session: u64,
     last_job: u64,
+    /// When open jobs came.
+    open: HashMap<JobId, u64>,
     pub counts: Counts,
 }
 
@@ -151,6 +169,7 @@
             lives: 0,
             last_session: 0,
             last_job: 0,
+            open: HashMap::new(),
             counts: Counts::default(),
         };
         fleet.start_all();
