--- a/src/ephemeral/directory.rs
+++ b/src/ephemeral/directory.rs
@@ -25,8 +25,8 @@
 /// Lease of a record: longer than most restarts of a store, and short enough
 /// that entries stop dialing a process that is gone for good.
 const RECORD_LEASE: Duration = Duration::from_secs(10);
-/// How long a gate without a record is still dialed (the users' letter: two
-/// seconds after the store is back).
+/// How long a gate without a record is still dialed: after an outage of the store a
+/// record that lapsed is back within it.
 pub(super) const MISSING: Duration = Duration::from_secs(2);
 /// Pause between two renewals; a record that lapsed is back within it.
 const RENEWAL: Duration = Duration::from_millis(1_500);
