--- a/tests/ephemeral_heavy_load.rs
+++ b/tests/ephemeral_heavy_load.rs
@@ -38,3 +38,25 @@
     assert!(counts.elsewhere < counts.starts * 5 / 4, "{counts:?}");
     assert!(counts.unknown * 100 < counts.served, "{counts:?}");
 }
+
+/// Processor time of a frame or a job on an entry of a tenth of a core: it handles 600 of
+/// them a second, and is full at 27 jobs a second while tasks are tried at several gates.
+const INPUT_US: u64 = 1_650;
+
+/// The pattern: callers come to entries by a hash, so one of a small share of a core gets
+/// several times what the others do, and falls behind in a rush. It may refuse; what it
+/// takes, it is to answer in time.
+#[test]
+fn an_entry_out_of_processor_time_refuses_what_it_would_answer_late() {
+    let mut fleet = LargeFleet::new(12, 70);
+    fleet.run(2 * SECOND_US, 0.0);
+    fleet.press(0, INPUT_US, 1);
+    fleet.run(2 * SECOND_US, FULL * 0.9);
+    let counts = fleet.run(3 * SECOND_US, FULL * 0.9);
+    println!("{counts:?}");
+    assert!(counts.watched_served > 20, "{counts:?}");
+    assert!(
+        counts.watched_late * 5 < counts.watched_served,
+        "{counts:?}"
+    );
+}
--- a/tests/large_fleet/entries.rs
+++ b/tests/large_fleet/entries.rs
@@ -13,17 +13,29 @@
 use winghold::ephemeral::message::{ProcessId, RunEnd, ToEntry, ToGate};
 use winghold::ephemeral::session::SessionId;
 use winghold::logging;
-use winghold::time::Moment;
+use winghold::time::{Moment, micros};
 
 use super::{Flight, JobKind, LargeFleet, STEP_US, TASK_CPU};
 
 /// How long callers wait.
 const CALLER_WAITS_US: u64 = 5_000_000;
 
+/// What an entry has not handled yet.
+enum Input {
+    Job(JobId),
+    Frame(Flight<ToEntry>),
+}
+
 pub struct EntrySide {
     pub dispatcher: Dispatcher,
     dials: Dials,
-    inbox: VecDeque<JobId>,
+    inbox: VecDeque<Input>,
+    /// Processor time that a frame or a job takes.
+    pub input_us: u64,
+    /// Until when it handles what it has read, and sends nothing.
+    busy_until_us: u64,
+    /// What it does at the end of its turn.
+    pending: Vec<DispatchAction>,
 }
 
 impl EntrySide {
@@ -36,6 +48,9 @@
             dispatcher,
             dials,
             inbox: VecDeque::new(),
+            input_us: 0,
+            busy_until_us: 0,
+            pending: Vec::new(),
         }
     }
 
@@ -44,25 +59,23 @@
         self.dials.lost(session);
     }
 
-    fn submit_all(&mut self, now: Moment) {
-        while let Some(id) = self.inbox.pop_front() {
-            let kind = JobKind::of(id);
-            let spec = JobSpec {
-                id,
-                payload: "p".into(),
-                count: kind.tasks,
-                needs: Resources {
-                    cpu_milli: TASK_CPU,
-                    memory_mb: 64,
-                    accelerators: 0,
-                },
-                estimate_us: kind.run_us,
-                constraints: Constraints::default(),
-            };
-            let waiter = WaiterId(id.0);
-            self.dispatcher
-                .submit(now, waiter, spec, kind.route(), CALLER_WAITS_US);
-        }
+    fn submit(&mut self, now: Moment, id: JobId) {
+        let kind = JobKind::of(id);
+        let spec = JobSpec {
+            id,
+            payload: "p".into(),
+            count: kind.tasks,
+            needs: Resources {
+                cpu_milli: TASK_CPU,
+                memory_mb: 64,
+                accelerators: 0,
+            },
+            estimate_us: kind.run_us,
+            constraints: Constraints::default(),
+        };
+        let waiter = WaiterId(id.0);
+        self.dispatcher
+            .submit(now, waiter, spec, kind.route(), CALLER_WAITS_US);
     }
 }
 
@@ -70,20 +83,33 @@
     pub(super) fn submit(&mut self, entry: usize, id: JobId) {
         self.open.insert(id, self.now_us);
         match &mut self.entries[entry] {
-            Some(side) => side.inbox.push_back(id),
+            Some(side) => side.inbox.push_back(Input::Job(id)),
             None => self.counts.unknown += 1,
         }
     }
 
-    pub(super) fn entry_reads(&mut self, flight: Flight<ToEntry>) {
-        let now = self.now();
+    pub(super) fn entry_gets(&mut self, flight: Flight<ToEntry>) {
         let Some((entry, _)) = self.sessions.get(&flight.session).copied() else {
             return;
         };
-        let Some(side) = &mut self.entries[entry] else {
+        match &mut self.entries[entry] {
+            Some(side) if side.input_us > 0 => side.inbox.push_back(Input::Frame(flight)),
+            _ => self.entry_reads(entry, flight),
+        }
+    }
+
+    fn entry_reads(&mut self, index: usize, flight: Flight<ToEntry>) {
+        let now = self.now();
+        if !self.sessions.contains_key(&flight.session) {
+            return;
+        }
+        if now.mono_us - flight.sent_us > micros(self.limits.frame_age) + STEP_US {
+            self.close(flight.session);
+            return;
+        }
+        let Some(side) = &mut self.entries[index] else {
             return;
         };
-        assert!(now.mono_us - flight.sent_us <= STEP_US);
         side.dispatcher.heard(now, flight.session);
         for message in flight.messages {
             if matches!(&message, ToEntry::Ended { end, .. } if *end != RunEnd::Done) {
@@ -93,23 +119,60 @@
         }
     }
 
+    /// A turn handles all that has come, and what it decides goes out at its end.
     pub(super) fn entry_turn(&mut self, index: usize) {
         let now = self.now();
         let Some(side) = &mut self.entries[index] else {
             return;
         };
+        if now.mono_us < side.busy_until_us {
+            return;
+        }
+        let pending = std::mem::take(&mut side.pending);
+        self.carry_out_entry(index, pending);
+        let Some(side) = &mut self.entries[index] else {
+            return;
+        };
         side.dispatcher.tick(now);
-        side.submit_all(now);
-        let dispatcher = &side.dispatcher;
-        let attempts = side.dials.attempts(now, |gate| dispatcher.wants(gate));
-        for attempt in attempts {
-            self.connect(index, &attempt.gate);
+        let inputs = std::mem::take(&mut side.inbox);
+        let takes_us = side.input_us * inputs.len() as u64;
+        for input in inputs {
+            self.handle(index, input);
         }
+        self.dial(index);
         let Some(side) = &mut self.entries[index] else {
             return;
         };
+        side.busy_until_us = now.mono_us + takes_us;
         let actions = side.dispatcher.take_actions(now);
-        self.carry_out_entry(index, actions);
+        match side.input_us {
+            0 => self.carry_out_entry(index, actions),
+            _ => side.pending = actions,
+        }
+    }
+
+    fn handle(&mut self, index: usize, input: Input) {
+        let now = self.now();
+        match input {
+            Input::Frame(flight) => self.entry_reads(index, flight),
+            Input::Job(id) => {
+                if let Some(side) = &mut self.entries[index] {
+                    side.submit(now, id);
+                }
+            }
+        }
+    }
+
+    fn dial(&mut self, index: usize) {
+        let now = self.now();
+        let Some(side) = &mut self.entries[index] else {
+            return;
+        };
+        let dispatcher = &side.dispatcher;
+        let attempts = side.dials.attempts(now, |gate| dispatcher.wants(gate));
+        for attempt in attempts {
+            self.connect(index, &attempt.gate);
+        }
     }
 
     fn connect(&mut self, entry: usize, name: &Arc<str>) {
@@ -126,13 +189,17 @@
         }
     }
 
-    fn answered(&mut self, id: JobId, code: ResultCode) {
+    fn answered(&mut self, index: usize, id: JobId, code: ResultCode) {
         let came_us = self.open.remove(&id).unwrap_or(self.now_us);
         let late = self.now_us > came_us + JobKind::of(id).objective_us();
         match code {
             ResultCode::Complete => {
                 self.counts.served += 1;
                 self.counts.late += u64::from(late);
+                if self.watched == Some(index) {
+                    self.counts.watched_served += 1;
+                    self.counts.watched_late += u64::from(late);
+                }
             }
             ResultCode::Overloaded => self.counts.refused += 1,
             _ => self.counts.unknown += 1,
@@ -155,7 +222,7 @@
                     }
                 }
                 DispatchAction::Reply { waiter, answer } => {
-                    self.answered(JobId(waiter.0), answer.code);
+                    self.answered(index, JobId(waiter.0), answer.code);
                 }
                 DispatchAction::Learned(_) => {}
             }
--- a/tests/large_fleet/mod.rs
+++ b/tests/large_fleet/mod.rs
@@ -102,6 +102,9 @@
     pub served: u64,
     /// Of these, answered after the objective.
     pub late: u64,
+    /// The same of the entry that is watched.
+    pub watched_served: u64,
+    pub watched_late: u64,
     pub refused: u64,
     pub unknown: u64,
     /// Runs of tasks that had to go elsewhere.
@@ -144,6 +147,7 @@
     last_job: u64,
     /// When open jobs came.
     open: HashMap<JobId, u64>,
+    watched: Option<usize>,
     pub counts: Counts,
 }
 
@@ -170,6 +174,7 @@
             last_session: 0,
             last_job: 0,
             open: HashMap::new(),
+            watched: None,
             counts: Counts::default(),
         };
         fleet.start_all();
@@ -208,6 +213,16 @@
         self.start_all();
     }
 
+    /// An entry that takes `input_us` of processor time for each frame and job, and has
+    /// `callers` more than others. Its answers are counted by themselves.
+    pub fn press(&mut self, index: usize, input_us: u64, callers: usize) {
+        self.watched = Some(index);
+        self.callers.extend(std::iter::repeat_n(index, callers));
+        if let Some(side) = &mut self.entries[index] {
+            side.input_us = input_us;
+        }
+    }
+
     fn now(&self) -> Moment {
         Moment {
             mono_us: self.now_us,
@@ -255,7 +270,7 @@
             self.gate_reads(flight);
         }
         while let Some(flight) = self.to_entries.pop_front_if(|one| one.at_us <= self.now_us) {
-            self.entry_reads(flight);
+            self.entry_gets(flight);
         }
     }
 
