--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -291,8 +291,8 @@
     /// Sends the load to entries: with whatever they are told anyway, to confirm a
     /// start, as a heartbeat, and in turn to those with work here as it changes.
     ///
-    /// Sent to every entry at each change it was two thirds of all frames of a fleet of
-    /// 12 entries and 70 gates, and nine tenths with 55 and 240.
+    /// Sent to every entry at each change, loads were 74 of the 98 frames that went out for
+    /// each task that began, with 55 entries and 240 gates in virtual time.
     pub(super) fn share_load(&mut self, now: Moment) {
         self.note_owners(now);
         let told: HashSet<SessionId> = self.actions.iter().filter_map(told_session).collect();
--- a/src/ephemeral/gate/turns.rs
+++ b/src/ephemeral/gate/turns.rs
@@ -3,8 +3,8 @@
 //! Orders, answers of the worker and sessions that end are events. What depends on time
 //! alone is a heartbeat that is due or an entry that falls silent, which are known
 //! beforehand, and what is on its way to the worker or back. A gate that looked for these
-//! every 10 ms turned a hundred times a second, work or none; 240 gates then wake up more
-//! often for nothing than for all messages of the fleet.
+//! every 10 ms turned a hundred times a second, work or none: 24,000 wake-ups a second
+//! of 240 gates.
 
 use std::time::Duration;
 
--- a/src/ephemeral/limits.rs
+++ b/src/ephemeral/limits.rs
@@ -27,7 +27,7 @@
 const QUIET_BEATS: f64 = 1.25;
 /// Heartbeats in the pause between two of a session without work: whoever is gone is
 /// found out by the next order, which tells within 25 ms, and nobody waits meanwhile.
-/// With 16 such sessions an entry sends and hears 27 frames a second.
+/// With 16 such sessions an entry sends and hears 24 frames a second (virtual time).
 const BEATS_IN_IDLE_BEAT: u32 = 8;
 /// Longest silence, however long callers pause.
 const MOST_SILENCE: Duration = Duration::from_millis(1_000);
--- a/src/ephemeral/subset.rs
+++ b/src/ephemeral/subset.rs
@@ -29,9 +29,9 @@
 const LEAST: usize = 16;
 /// The same of a rack that data of a job lies on: a few, as tasks may run elsewhere.
 const LEAST_ON_RACK: usize = 4;
-/// Times the room that an entry's open jobs want that its gates have in all. They share
-/// these gates with the jobs of other entries: where callers come to some entries five
-/// times as often as to others, each finds as much room as it would among all gates.
+/// Times the room that an entry's open jobs want that its gates have in all, as they share
+/// these gates with the jobs of other entries. Reasoned, not varied: with it 0.97 of the
+/// jobs are in time at 0.94 of the room of 70 gates, where callers come to entries unevenly.
 const ROOM_SHARE: f64 = 4.0;
 /// Time in which what was asked for counts half; a wave of callers lasts seconds.
 const HALF_LIFE: Duration = Duration::from_secs(10);
--- a/tests/ephemeral_heavy_load.rs
+++ b/tests/ephemeral_heavy_load.rs
@@ -5,7 +5,7 @@
 //! have heard as well, sends where everyone sends and is turned away, until its jobs are
 //! late. The grounds: at a load of 1.59 all workers are full, if nothing is ever idle
 //! between two runs. With sessions between all of 12 entries and 70 gates, 0.98 and 0.80
-//! of the jobs were in time at 0.82 and 0.94 of that, 9,200 to 9,600 runs of some 4,200
+//! of the jobs were in time at loads of 1.3 and 1.5, 9,200 to 9,600 runs of some 4,200
 //! had to go elsewhere above it, and up to 11 jobs ended as unknown.
 
 mod ephemeral_fleet;
--- a/tests/large_fleet/entries.rs
+++ b/tests/large_fleet/entries.rs
@@ -54,7 +54,7 @@
         }
     }
 
-    pub fn closed(&mut self, _now: Moment, session: SessionId) {
+    pub fn closed(&mut self, session: SessionId) {
         self.dispatcher.disconnected(session);
         self.dials.lost(session);
     }
--- a/tests/large_fleet/mod.rs
+++ b/tests/large_fleet/mod.rs
@@ -278,9 +278,8 @@
         let Some((entry, gate)) = self.sessions.remove(&session) else {
             return;
         };
-        let now = self.now();
         if let Some(side) = &mut self.entries[entry] {
-            side.closed(now, session);
+            side.closed(session);
         }
         if let Some(side) = &mut self.gates[gate] {
             side.gate.session_closed(session);
