Evacuate failure domains: gates read the operators' keys and refuse starts

Ways weighed: entries read the keys and place nothing there (an entry that has not heard starts late); entries pass the word on to gates (a gate whose entries are all cut off from the store is in touch and does not know); each gate reads them itself and its load says so. Change: agents follow the keys where the deployment has evacuations; a gate that starts waits 300 ms at most for its first read; an evacuated one refuses what waits and what comes, sends no order again, and lets run what runs. Entries see it as closed; the subset of sessions fills up with other gates; while all domains are evacuated jobs are refused at once, for now. The fake fleet evacuates among its arbitrary failures and takes an order in an evacuated domain for a broken promise.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -36,6 +36,8 @@
     pub worker: Arc<dyn OrderedWorker>,
     /// What the record in the store says.
     pub published: watch::Sender<Published>,
+    /// Whether it will be told whether its failure domain is evacuated.
+    pub evacuations: bool,
     /// Timer service.
     pub timer: Timer,
     /// Where counts go.
@@ -56,6 +58,7 @@
     Held(Moment, HoldCall, Result<HoldReply, OrderError>),
     /// A hold failed, and whether it broke off; its answer follows after a pause.
     HoldFailed(bool),
+    Evacuated(bool),
     Leave,
 }
 
@@ -81,6 +84,11 @@
         let _ = self.events.send(Event::Left(id.to_string()));
     }
 
+    /// Its failure domain is evacuated, or taken back; `false` if the agent is gone.
+    pub fn evacuate(&self, evacuated: bool) -> bool {
+        self.events.send(Event::Evacuated(evacuated)).is_ok()
+    }
+
     /// Takes no more work, and ends once what runs is over.
     pub fn leave(&self) {
         let _ = self.events.send(Event::Leave);
@@ -111,8 +119,12 @@
             parts.timer.clone(),
             parts.log.clone(),
         ));
+        let mut gate = Gate::new(parts.me.clone(), parts.limits, parts.log.clone());
+        if parts.evacuations {
+            gate.expect_evacuation(parts.timer.now());
+        }
         let agent = Agent {
-            gate: Gate::new(parts.me.clone(), parts.limits, parts.log.clone()),
+            gate,
             sessions: Sessions::new(parts.timer.clone(), tell),
             tx: tx.clone(),
             rx,
@@ -191,6 +203,11 @@
             }
             Event::Held(sent, call, answer) => self.gate.hold_answered(now, sent, &call, answer),
             Event::HoldFailed(broke) => self.gate.hold_failed(now, broke),
+            Event::Evacuated(evacuated) => {
+                let gauge = u64::from(evacuated);
+                self.parts.metrics.gauge("evacuated", gauge);
+                self.gate.evacuate(now, evacuated);
+            }
             Event::Leave => {
                 info!(self.parts.log, "agent is leaving"; "idle" => self.gate.idle());
                 self.leaving = true;
--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -40,6 +40,8 @@
 
 /// Why a job is refused that fits no worker now, but did before.
 const HAS_SHRUNK: &str = "no worker has the capacity for it now";
+/// Why a job is refused while no failure domain is left.
+const EVACUATED: &str = "the failure domains of all workers are evacuated";
 /// Why a job is refused that fits no worker that is known.
 const NOT_ALL_KNOWN: &str = "not all workers are known yet";
 
@@ -63,7 +65,10 @@
     /// Whether a job can be served in time.
     fn admit(&mut self, now: Moment, job: &Job) -> Result<(), Denial> {
         if !self.gates.values().any(GateView::is_open) {
-            return Err(Denial::NoGate);
+            return Err(match self.all_evacuated() {
+                true => Denial::Answer(refused(EVACUATED, COME_BACK_LATER_MS)),
+                false => Denial::NoGate,
+            });
         }
         let want = self.want(now, job);
         let fitting = |gate: &GateView| {
@@ -100,6 +105,14 @@
         Ok(())
     }
 
+    /// Whether every gate that is heard is in a failure domain that is evacuated: no other
+    /// one will come within the patience of a job.
+    fn all_evacuated(&self) -> bool {
+        let mut heard = self.gates.values().filter(|gate| gate.session.is_some());
+        let some = heard.clone().next().is_some();
+        some && heard.all(|gate| gate.load.evacuated)
+    }
+
     /// Part of its patience that a job may be expected to wait for room.
     fn admit_share(&self, job: &Job) -> f64 {
         let level = self.congestion.level();
--- a/src/ephemeral/follower.rs
+++ b/src/ephemeral/follower.rs
@@ -144,7 +144,7 @@
 impl Follower {
     /// Tells the entries of `keys`, anew whenever one of them changes, until `tell`
     /// says that nobody listens.
-    pub async fn follow(&self, keys: &Keys<'_>, tell: impl Fn(Vec<StoreEntry>) -> bool) {
+    pub async fn follow(&self, keys: &Keys<'_>, mut tell: impl FnMut(Vec<StoreEntry>) -> bool) {
         let Keys { prefix, what, .. } = *keys;
         let mut reachable = Reachable::new(what, self.log.clone());
         let mut backoff = Backoff::default();
@@ -156,7 +156,7 @@
             if told.as_ref() != Some(&known.entries) && !tell(known.entries()) {
                 return;
             }
-            let watching = self.watch_all(keys, &mut known, &mut reachable, &tell);
+            let watching = self.watch_all(keys, &mut known, &mut reachable, &mut tell);
             let ended = match keys.leased {
                 true => self.timer.within(REREAD, watching).await,
                 false => Some(watching.await),
@@ -177,7 +177,7 @@
         keys: &Keys<'_>,
         known: &mut Known,
         reachable: &mut Reachable,
-        tell: &impl Fn(Vec<StoreEntry>) -> bool,
+        tell: &mut impl FnMut(Vec<StoreEntry>) -> bool,
     ) -> WatchEnd {
         let mut heard = false;
         loop {
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -10,6 +10,7 @@
 //! list and takes nothing before each was claimed by its entry or is over.
 
 mod config;
+mod evacuation;
 mod health;
 mod life;
 mod losses;
@@ -36,6 +37,7 @@
 use crate::ephemeral::session::SessionId;
 use crate::ephemeral::worker::{HoldCall, StartCall, StopCall};
 use crate::time::{Moment, micros};
+use evacuation::Evacuation;
 use health::Health;
 use life::Life;
 use losses::Lost;
@@ -206,6 +208,7 @@
     /// When the first hold broke off since then, sooner than for want of an answer.
     hold_broke_us: Option<u64>,
     leaving: bool,
+    evacuation: Evacuation,
     load_changed: bool,
     load_sent_us: u64,
     actions: Vec<GateAction>,
@@ -242,6 +245,7 @@
             hold_failed_us: None,
             hold_broke_us: None,
             leaving: false,
+            evacuation: Evacuation::default(),
             load_changed: false,
             load_sent_us: 0,
             actions: Vec::new(),
@@ -273,6 +277,9 @@
         if self.leaving {
             return Some(NotRunReason::Leaving);
         }
+        if self.evacuation.bars_starts(now) {
+            return Some(NotRunReason::Evacuated);
+        }
         match &self.life {
             None => Some(NotRunReason::NoWorker),
             Some(life) if life.leaving => Some(NotRunReason::Leaving),
@@ -413,6 +420,7 @@
             slowness_percent: self.health.slowness_percent(),
             suspect: self.health.suspect(),
             leaving: self.closed(now).is_some(),
+            evacuated: self.evacuation.bars_starts(now),
             seen: 0,
         }
     }
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -61,7 +61,8 @@
                 // time that has passed afterwards.
                 self.is_heard(now, &record.owner)
             });
-            if unanswered && wanted && resent < MOST_RESENT && !self.is_mute(now) {
+            let barred = self.is_mute(now) || self.evacuation.bars_starts(now);
+            if unanswered && wanted && resent < MOST_RESENT && !barred {
                 info!(self.log, "start sent again"; "run" => %run, "resent" => resent + 1);
                 self.send_start(now, run, resent + 1);
                 return;
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -283,6 +283,8 @@
     NoRoom,
     /// The worker is leaving, or the gate is.
     Leaving,
+    /// Operators have evacuated the gate's failure domain.
+    Evacuated,
     /// The gate has no worker now.
     NoWorker,
     /// The entry withdrew it.
@@ -326,6 +328,8 @@
     pub suspect: bool,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Whether that is because its failure domain is evacuated.
+    pub evacuated: bool,
     /// Last start of this entry that is part of this load.
     pub seen: u64,
 }
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -10,6 +10,7 @@
 //! - [`job`], [`routes`]: what is asked for, and what the configuration allows.
 //! - [`dispatcher`]: the entry's decisions; [`placement`] chooses gates.
 //! - [`gate`]: the decisions beside a worker; [`room`] counts its capacity.
+//! - [`evacuations`]: failure domains in which nothing more is started.
 //! - [`losses`]: which tasks workers were lost under, and when one is given up.
 //! - [`subset`]: which gates an entry has sessions with.
 //! - [`message`], [`session`]: what entries and gates say, and how it travels;
@@ -26,6 +27,7 @@
 pub mod directory;
 pub mod dispatcher;
 pub mod entry;
+pub mod evacuations;
 pub mod follower;
 pub mod frame_counts;
 pub mod gate;
--- /dev/null
+++ b/tests/ephemeral_evacuation.rs
@@ -0,0 +1,210 @@
+//! Failure domains that operators evacuate: nothing more is started there, by whoever has
+//! not heard of it either, and what would go there goes elsewhere.
+
+mod dispatcher_bench;
+mod gate_bench;
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dispatcher_bench::{Bench as EntryBench, job, load};
+use gate_bench::{Bench as GateBench, run};
+use tokio::sync::mpsc::unbounded_channel;
+use winghold::code::{Effect, ResultCode};
+use winghold::ephemeral::evacuations::{self, EvacuationKeys};
+use winghold::ephemeral::follower::Follower;
+use winghold::ephemeral::message::{GateLoad, NotRunReason, RunEnd};
+use winghold::ephemeral::worker::{OrderError, StartReply, WorkerEnd};
+use winghold::logging;
+use winghold::metrics::Metrics;
+use winghold::store::{
+    Store, StoreChange, StoreEntry, StoreError, StoreFuture, StoreReply, StoreRequest,
+};
+use winghold::time::Timer;
+
+const EVACUATED: RunEnd = RunEnd::NotRun(NotRunReason::Evacuated);
+
+#[test]
+fn a_gate_refuses_what_waits_and_what_comes_and_lets_run_what_runs() {
+    let mut bench = GateBench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    bench.order(run(2), 600, 100);
+    bench.gate.evacuate(bench.now, true);
+    bench.collect();
+    bench.order(run(3), 100, 100);
+    assert_eq!(bench.ordered(), [run(1)]);
+    assert_eq!(bench.ends(), [(run(2), EVACUATED), (run(3), EVACUATED)]);
+    let load = bench.last_load();
+    assert!(load.leaving && load.evacuated);
+    assert_eq!(load.free.cpu_milli, 0);
+    bench.lists(vec![], vec![(1, run(1), WorkerEnd::Done)]);
+    assert!(bench.ends().contains(&(run(1), RunEnd::Done)));
+    bench.gate.evacuate(bench.now, false);
+    bench.collect();
+    bench.order(run(4), 100, 100);
+    assert_eq!(bench.ordered().last(), Some(&run(4)));
+    bench.pass(200);
+    assert!(!bench.last_load().leaving);
+}
+
+#[test]
+fn a_start_without_an_answer_is_not_sent_again() {
+    let mut bench = GateBench::ready();
+    bench.order(run(1), 100, 100);
+    bench.gate.evacuate(bench.now, true);
+    bench.collect();
+    bench.started(run(1), Err(OrderError::Unanswered));
+    assert_eq!(bench.ordered(), [run(1)], "once");
+    assert_eq!(bench.stops(), [run(1)], "it is barred");
+}
+
+#[test]
+fn a_gate_that_starts_waits_a_moment_for_the_first_read() {
+    let mut bench = GateBench::ready();
+    bench.gate.expect_evacuation(bench.now);
+    bench.order(run(1), 100, 100);
+    assert_eq!(bench.ends(), [(run(1), EVACUATED)]);
+    bench.gate.heard(bench.now, gate_bench::ENTRY);
+    bench.pass(310);
+    bench.gate.heard(bench.now, gate_bench::ENTRY);
+    bench.order(run(2), 100, 100);
+    assert_eq!(bench.ordered(), [run(2)], "the store may be away");
+}
+
+fn evacuated() -> GateLoad {
+    GateLoad {
+        leaving: true,
+        evacuated: true,
+        ..load(0, 0)
+    }
+}
+
+#[test]
+fn work_goes_to_the_domains_that_are_left() {
+    let mut bench = EntryBench::new(3);
+    bench.load(1, evacuated());
+    bench.submit(1, job(1, 4), 0);
+    assert_eq!(bench.starts.len(), 4);
+    assert!(bench.starts.iter().all(|(session, _)| session.0 != 1));
+    let start = bench.starts[0];
+    bench.ended(start, EVACUATED);
+    assert_eq!(bench.starts.len(), 5, "it goes elsewhere at once");
+    assert_ne!(bench.starts[4].0, start.0);
+}
+
+/// That no failure domain is left is known: there is nothing to wait for.
+#[test]
+fn jobs_are_refused_at_once_for_now_while_all_domains_are_evacuated() {
+    let mut bench = EntryBench::new(2);
+    for gate in 1..=2 {
+        bench.load(gate, evacuated());
+    }
+    bench.submit(1, job(1, 1), 0);
+    bench.submit(2, job(2, 5_000), 0);
+    assert_eq!(
+        bench.codes(),
+        [ResultCode::Overloaded; 2],
+        "never \"never\""
+    );
+    for (_, answer) in &bench.answers {
+        assert_eq!(answer.effect, Effect::NotRun);
+        assert!(answer.retry_after_ms.is_some());
+    }
+    bench.load(1, load(1_000, 0));
+    bench.submit(3, job(3, 1), 0);
+    assert_eq!(bench.starts.len(), 1);
+}
+
+/// A store that tells what it is told to, call by call; then watches wait.
+struct Script(Mutex<Vec<Result<StoreReply, StoreError>>>);
+
+impl Store for Script {
+    fn call(&self, _: StoreRequest) -> StoreFuture<'_> {
+        let mut script = self.0.lock().unwrap();
+        if script.is_empty() {
+            return Box::pin(std::future::pending());
+        }
+        let reply = script.remove(0);
+        Box::pin(async { reply })
+    }
+}
+
+fn key(domain: &str) -> StoreEntry {
+    StoreEntry {
+        key: format!("e/{domain}"),
+        value: "not even JSON".into(),
+        revision: 1,
+    }
+}
+
+fn read(domains: &[&str]) -> Result<StoreReply, StoreError> {
+    let entries = domains.iter().map(|domain| key(domain)).collect();
+    Ok(StoreReply::Entries {
+        revision: 1,
+        entries,
+    })
+}
+
+fn change(change: StoreChange) -> Result<StoreReply, StoreError> {
+    let changes = vec![change];
+    Ok(StoreReply::Changes {
+        revision: 2,
+        changes,
+    })
+}
+
+fn removed(domain: &str) -> Result<StoreReply, StoreError> {
+    let key = key(domain).key;
+    change(StoreChange::Removed { key })
+}
+
+/// What is told of the domain `a`, of `a` and `b`.
+async fn told(script: Vec<Result<StoreReply, StoreError>>) -> Vec<bool> {
+    let follower = Follower {
+        store: Arc::new(Script(Mutex::new(script))),
+        timer: Timer::on_runtime_clock(),
+        metrics: Metrics::none(),
+        log: logging::discard(),
+    };
+    let keys = EvacuationKeys {
+        prefix: "e/".to_string(),
+        domain: "a".to_string(),
+        domains: ["a", "b"].map(str::to_string).into(),
+    };
+    let (tx, mut rx) = unbounded_channel();
+    let tell = move |evacuated| tx.send(evacuated).is_ok();
+    let following = evacuations::follow(follower, keys, tell);
+    let _ = tokio::time::timeout(Duration::from_secs(5), following).await;
+    std::iter::from_fn(|| rx.try_recv().ok()).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn evacuations_are_read_at_a_start_and_followed() {
+    assert_eq!(told(vec![read(&[])]).await, [false]);
+    assert_eq!(told(vec![read(&["b", "elsewhere"])]).await, [false]);
+    assert_eq!(told(vec![read(&["a", "elsewhere"])]).await, [true]);
+    let back_to_back = vec![
+        read(&["a"]),
+        removed("a"),
+        change(StoreChange::Written(key("a"))),
+        change(StoreChange::Written(key("b"))),
+        removed("a"),
+    ];
+    assert_eq!(told(back_to_back).await, [true, false, true, true, false]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_was_read_last_holds_through_an_outage_and_a_compaction() {
+    let away = || Err(StoreError::Unanswered);
+    let outage = vec![read(&["a"]), away(), away(), away()];
+    assert_eq!(told(outage).await, [true]);
+    let missed = vec![read(&["a"]), away(), away(), read(&["b"])];
+    assert_eq!(told(missed).await, [true, false]);
+    // A watch whose history is gone brings everything.
+    let forgotten = StoreReply::Entries {
+        revision: 9,
+        entries: vec![key("a")],
+    };
+    assert_eq!(told(vec![read(&[]), Ok(forgotten)]).await, [false, true]);
+}
--- a/tests/ephemeral_fleet/gates.rs
+++ b/tests/ephemeral_fleet/gates.rs
@@ -21,6 +21,7 @@
         if frozen {
             return;
         }
+        self.hear_of_evacuation(index, now);
         self.report(index, now);
         self.gate_answers(index, now);
         self.gate_reads(index, now);
--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -158,6 +158,8 @@
     missed_us: HashMap<usize, i64>,
     /// Ids of the workers' lives before the last crash.
     past_workers: Vec<Option<String>>,
+    /// Gates whose failure domains are evacuated, by when they heard or will hear of it.
+    evacuated: HashMap<usize, u64>,
     /// Losses in the records of gates, which outlive them.
     recorded: Vec<Vec<WorkerLoss>>,
     connections: Vec<Connection>,
@@ -205,6 +207,7 @@
             workers: (0..gates).map(worker).collect(),
             missed_us: HashMap::new(),
             past_workers: vec![None; gates],
+            evacuated: HashMap::new(),
             recorded: vec![Vec::new(); gates],
             connections: Vec::new(),
             apart: HashSet::new(),
@@ -285,6 +288,7 @@
         let me = self.next_life(&format!("gate-{index}"));
         let mut gate = Gate::new(me, self.limits, logging::discard());
         gate.recall_losses(self.recorded[index].clone());
+        gate.expect_evacuation(self.gate_moment(index));
         self.gates[index] = Some(GateProcess {
             gate,
             frozen_until_us: 0,
@@ -295,6 +299,26 @@
         });
     }
 
+    /// The failure domain of a gate is evacuated; the gate hears of it after `after_us`.
+    pub fn evacuate(&mut self, gate: usize, after_us: u64) {
+        let heard_us = self.now_us + after_us;
+        self.evacuated.entry(gate).or_insert(heard_us);
+    }
+
+    /// It is taken back.
+    pub fn take_back(&mut self, gate: usize) {
+        self.evacuated.remove(&gate);
+    }
+
+    /// What the gate reads in the store.
+    fn hear_of_evacuation(&mut self, index: usize, now: Moment) {
+        let heard_us = self.evacuated.get(&index);
+        let evacuated = heard_us.is_some_and(|heard_us| *heard_us <= self.now_us);
+        if let Some(process) = &mut self.gates[index] {
+            process.gate.evacuate(now, evacuated);
+        }
+    }
+
     pub fn has_gate(&self, index: usize) -> bool {
         self.gates[index].is_some()
     }
--- a/tests/ephemeral_fleet/orders.rs
+++ b/tests/ephemeral_fleet/orders.rs
@@ -39,6 +39,11 @@
 
     pub(super) fn order_start(&mut self, index: usize, call: StartCall) {
         let (meant, run) = (call.worker.clone(), call.run);
+        let evacuated_us = self.evacuated.get(&index);
+        if evacuated_us.is_some_and(|heard_us| *heard_us <= self.now_us) {
+            let text = format!("{run} is ordered in a failure domain that is evacuated");
+            self.violations.push(text);
+        }
         if self.is_refused(index) {
             let at_us = self.now_us + STEP_US;
             let answer = Answered::Start(meant, run, Err(OrderError::Refused));
--- a/tests/ephemeral_safety.rs
+++ b/tests/ephemeral_safety.rs
@@ -36,6 +36,8 @@
     HangWorker(u8),
     LoseOrders,
     AnswerOrders,
+    Evacuate(u8, u8),
+    TakeBack(u8),
     Restart,
     Wait(u8),
 }
@@ -70,6 +72,8 @@
         }
         Happening::LoseOrders => fleet.unanswered = 30,
         Happening::AnswerOrders => fleet.unanswered = 0,
+        Happening::Evacuate(which, length) => fleet.evacuate(pick(which), span(length)),
+        Happening::TakeBack(which) => fleet.take_back(pick(which)),
         Happening::Restart => restart(fleet),
         Happening::Wait(length) => fleet.run_for(u64::from(length) * 4_000),
     }
