Gate tests: a stop is sent again at once after a wait in vain, later if it broke off

Change: the test lets the time pass that an unanswered order takes; a second test holds what a broken-off one does. Nothing is checked less than before.

--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -118,10 +118,27 @@
     let message = ToGate::Stop { run: run(1) };
     bench.gate.message(bench.now, ENTRY, message);
     bench.collect();
+    bench.pass(100);
     bench.stopped(run(1), Err(OrderError::Unanswered));
     assert_eq!(bench.stops(), [run(1), run(1)]);
 }
 
+/// The next one would break off as well, and each is a dial.
+#[test]
+fn a_stop_that_broke_off_is_sent_again_after_a_while() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.started(run(1), Ok(StartReply::Running));
+    let message = ToGate::Stop { run: run(1) };
+    bench.gate.message(bench.now, ENTRY, message);
+    bench.collect();
+    bench.stopped(run(1), Err(OrderError::Unanswered));
+    assert_eq!(bench.stops(), [run(1)]);
+    bench.gate.heard(bench.now, ENTRY);
+    bench.pass(170);
+    assert_eq!(bench.stops(), [run(1), run(1)]);
+}
+
 #[test]
 fn the_runs_of_a_silent_entry_are_stopped() {
     let mut bench = Bench::ready();
