Evacuate a failure domain by the operators' own commands

Cause: the project's own interface could drain a target, not a whole failure domain. Change: `winghold evacuate DOMAIN` and `unevacuate`, in the query language too; a change of the configuration like a drain: audited, refused for a domain that the configuration does not have. Placement and gates ask one question of a target (`Config::bars`). `query` shows `evacuated` beside `drained`. Measured: a test with the real programs: work goes elsewhere, nothing fails, the trail tells.

--- a/src/agent/rows.rs
+++ b/src/agent/rows.rs
@@ -104,8 +104,10 @@
         let placer = self.member.owner.placer();
         let ejected: Vec<_> = placer.ejected().map(|gate| gate.name.clone()).collect();
         let sample = placer.known(&self.node.me).map(|known| &known.sample);
+        let config = self.node.fleet.config();
+        let name = self.node.me.name.to_string();
         json!({
-            "name": self.node.me.name,
+            "name": name,
             "service": self.settings.service,
             "failure_domain": self.settings.process.failure_domain,
             "slots": self.settings.slots,
@@ -113,7 +115,8 @@
             "queued": sample.map_or(0, |sample| sample.queued),
             "mean_run_ms": sample.map_or(0, |sample| sample.mean_run_us / 1_000),
             "failed_percent": sample.map_or(0, |sample| sample.failed_percent),
-            "drained": self.node.fleet.drained(&self.node.me),
+            "drained": config.drained.contains(&name),
+            "evacuated": config.evacuated.contains(&self.settings.process.failure_domain),
             "ejects": ejected,
         })
     }
--- a/src/bench/slope_fleet.rs
+++ b/src/bench/slope_fleet.rs
@@ -135,6 +135,7 @@
             revision: 1,
             document: text,
             drained: Vec::new(),
+            evacuated: Vec::new(),
             changes: Vec::new(),
         });
         fleet.take_members(5, (0..members).map(record).collect());
@@ -162,6 +163,7 @@
             me,
             service: "s".to_string(),
             slots: 1_000,
+            failure_domain: "a".to_string(),
         };
         let gate = Gate::new(settings, fleet.config());
         let entry = MemberId::new("entry", 1);
--- a/src/bench/slopes.rs
+++ b/src/bench/slopes.rs
@@ -382,6 +382,7 @@
             revision: count as u64,
             document: String::new(),
             drained: Vec::new(),
+            evacuated: Vec::new(),
             changes: (0..count).map(change).collect(),
         })
     };
--- a/src/bin/winghold/app.rs
+++ b/src/bin/winghold/app.rs
@@ -25,8 +25,8 @@
 use winghold::time::Timer;
 
 use crate::clap_app::{
-    Args, BenchArgs, BenchCommand, BenchPart, Command, ConfigCommand, DrainArgs, LocalArgs,
-    StandinArgs, SubmitArgs, ThroughputArgs,
+    Args, BenchArgs, BenchCommand, BenchPart, Command, ConfigCommand, DrainArgs, EvacuateArgs,
+    LocalArgs, StandinArgs, SubmitArgs, ThroughputArgs,
 };
 use crate::printer::print;
 
@@ -102,6 +102,8 @@
         Command::Cancel { id } => Output::Value(operator.cancel(id).await?),
         Command::Drain(args) => drain(operator, args, true).await?,
         Command::Undrain(args) => drain(operator, args, false).await?,
+        Command::Evacuate(args) => evacuate(operator, args, true).await?,
+        Command::Unevacuate(args) => evacuate(operator, args, false).await?,
         Command::Config(command) => config(operator, command).await?,
         Command::Services => return statement(operator, "select * from services").await,
         Command::Workers => {
@@ -142,6 +144,13 @@
     Ok(Output::Value(serde_json::json!({ "revision": revision })))
 }
 
+async fn evacuate(operator: &Operator, args: &EvacuateArgs, evacuated: bool) -> Result<Output> {
+    let revision = operator
+        .evacuate(&args.domain, evacuated, &args.note)
+        .await?;
+    Ok(Output::Value(serde_json::json!({ "revision": revision })))
+}
+
 async fn config(operator: &Operator, command: &ConfigCommand) -> Result<Output> {
     match command {
         ConfigCommand::Get => {
--- a/src/bin/winghold/clap_app.rs
+++ b/src/bin/winghold/clap_app.rs
@@ -54,6 +54,10 @@
     Drain(DrainArgs),
     /// Give a drained target work again
     Undrain(DrainArgs),
+    /// Give the targets of a failure domain no new work
+    Evacuate(EvacuateArgs),
+    /// Give the targets of an evacuated failure domain work again
+    Unevacuate(EvacuateArgs),
     /// Look at or change the configuration
     #[command(subcommand)]
     Config(ConfigCommand),
@@ -106,6 +110,16 @@
     pub note: String,
 }
 
+/// Arguments of `evacuate` and `unevacuate`.
+#[derive(Debug, clap::Args)]
+pub struct EvacuateArgs {
+    /// Name of the failure domain
+    pub domain: String,
+    /// Why, for the trail of changes
+    #[arg(long, default_value = "")]
+    pub note: String,
+}
+
 /// What to do with the configuration.
 #[derive(Debug, Subcommand)]
 pub enum ConfigCommand {
--- a/src/config.rs
+++ b/src/config.rs
@@ -26,6 +26,9 @@
     /// Names of targets that operators drain; kept beside the document.
     #[serde(skip)]
     pub drained: Vec<String>,
+    /// Failure domains that operators have evacuated; kept beside the document.
+    #[serde(skip)]
+    pub evacuated: Vec<String>,
     /// What callers may send.
     #[serde(default)]
     pub limits: Limits,
@@ -309,6 +312,12 @@
 }
 
 impl Config {
+    /// Whether operators want no new work for a target in a failure domain.
+    pub fn bars(&self, target: &str, domain: &str) -> bool {
+        let drained = self.drained.iter().any(|name| name == target);
+        drained || self.evacuated.iter().any(|name| name == domain)
+    }
+
     /// The configuration of a process that has none from the store yet: no
     /// services, and defaults for everything else.
     pub fn empty() -> Config {
@@ -317,6 +326,7 @@
             services: Vec::new(),
             teams: Vec::new(),
             drained: Vec::new(),
+            evacuated: Vec::new(),
             limits: Limits::default(),
             policy: Policy::default(),
             ownership: Ownership::default(),
--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -37,6 +37,13 @@
         /// Whether it is drained from now on.
         drained: bool,
     },
+    /// Evacuates a failure domain, or takes it back; the document stays.
+    Evacuate {
+        /// Name of the domain.
+        domain: String,
+        /// Whether it is evacuated from now on.
+        evacuated: bool,
+    },
 }
 
 /// A change that an operator proposes.
@@ -154,13 +161,22 @@
         revision: 0,
         document: String::new(),
         drained: Vec::new(),
+        evacuated: Vec::new(),
         changes: Vec::new(),
     });
     let mut next = before.clone();
     next.revision += 1;
     let difference = match &proposal.edit {
         Edit::Document { base, document } => replace_document(&before, &mut next, *base, document)?,
-        Edit::Drain { target, drained } => set_drained(&mut next, target, *drained),
+        Edit::Drain { target, drained } => {
+            let change = set(&mut next.drained, target, *drained);
+            format!("{change}drained: {target}")
+        }
+        Edit::Evacuate { domain, evacuated } => {
+            check_domain(&before, domain)?;
+            let change = set(&mut next.evacuated, domain, *evacuated);
+            format!("{change}evacuated: {domain}")
+        }
     };
     next.changes.push(Change {
         revision: next.revision,
@@ -200,13 +216,25 @@
     Ok(difference(&before.document, document))
 }
 
-fn set_drained(next: &mut ConfigRecord, target: &str, drained: bool) -> String {
-    next.drained.retain(|name| name != target);
-    if drained {
-        next.drained.push(target.to_string());
+/// Puts a name on a list or takes it off; returns the sign of that for the trail.
+fn set(names: &mut Vec<String>, name: &str, listed: bool) -> char {
+    names.retain(|other| other != name);
+    if !listed {
+        return '-';
+    }
+    names.push(name.to_string());
+    '+'
+}
+
+/// That the configuration in force knows a failure domain.
+fn check_domain(record: &ConfigRecord, domain: &str) -> Result<()> {
+    let config = Config::from_yaml(&record.document)?;
+    match config.region_of(domain) {
+        Some(_) => Ok(()),
+        None => Err(Error::Invalid(vec![format!(
+            "{domain}: no such failure domain"
+        )])),
     }
-    let sign = if drained { '+' } else { '-' };
-    format!("{sign}drained: {target}")
 }
 
 /// Lines that only one of two documents has.
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -34,7 +34,7 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct DrainBody {
+struct SwitchBody {
     who: String,
     #[serde(default)]
     note: String,
@@ -54,6 +54,10 @@
         (&Method::GET, ["history"]) => history(handle).await,
         (&Method::POST, ["targets", name, "drain"]) => drain(handle, name, true, req).await,
         (&Method::POST, ["targets", name, "undrain"]) => drain(handle, name, false, req).await,
+        (&Method::POST, ["domains", name, "evacuate"]) => evacuate(handle, name, true, req).await,
+        (&Method::POST, ["domains", name, "unevacuate"]) => {
+            evacuate(handle, name, false, req).await
+        }
         (&Method::GET, ["services"]) => json_reply(200, &services(handle)),
         (&Method::GET, ["tables", name]) => table(handle, name, req.uri().query()).await,
         _ => refused(
@@ -72,7 +76,7 @@
         Ok(Some((record, _))) => json_reply(200, &document(&record)),
         Ok(None) => json_reply(
             200,
-            &json!({ "revision": 0, "document": "", "drained": [] }),
+            &json!({ "revision": 0, "document": "", "drained": [], "evacuated": [] }),
         ),
         Err(err) => failure(&err),
     }
@@ -83,6 +87,7 @@
         "revision": record.revision,
         "document": record.document,
         "drained": record.drained,
+        "evacuated": record.evacuated,
     })
 }
 
@@ -115,14 +120,27 @@
 }
 
 async fn drain(handle: &Handle, target: &str, drained: bool, req: Request<Incoming>) -> Reply {
-    let body: DrainBody = match read_json(handle, req).await {
-        Ok(body) => body,
-        Err(reply) => return reply,
-    };
     let edit = Edit::Drain {
         target: target.to_string(),
         drained,
     };
+    switch(handle, edit, req).await
+}
+
+async fn evacuate(handle: &Handle, domain: &str, evacuated: bool, req: Request<Incoming>) -> Reply {
+    let edit = Edit::Evacuate {
+        domain: domain.to_string(),
+        evacuated,
+    };
+    switch(handle, edit, req).await
+}
+
+/// Proposes an edit that the path of a request names.
+async fn switch(handle: &Handle, edit: Edit, req: Request<Incoming>) -> Reply {
+    let body: SwitchBody = match read_json(handle, req).await {
+        Ok(body) => body,
+        Err(reply) => return reply,
+    };
     let proposal = Proposal {
         edit,
         who: body.who,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -137,6 +137,9 @@
     /// Names of targets that operators drain.
     #[serde(default)]
     pub drained: Vec<String>,
+    /// Failure domains that operators have evacuated.
+    #[serde(default)]
+    pub evacuated: Vec<String>,
     /// The latest changes, oldest first.
     pub changes: Vec<Change>,
 }
@@ -236,12 +239,10 @@
         &self.members
     }
 
-    /// Whether an operator drains the target of `member`.
-    pub fn drained(&self, member: &MemberId) -> bool {
-        self.config
-            .drained
-            .iter()
-            .any(|name| **name == *member.name)
+    /// Whether operators want no new work for a member's target: they drain it, or have
+    /// evacuated its failure domain.
+    pub fn bars(&self, record: &MemberRecord) -> bool {
+        self.config.bars(&record.id.name, &record.failure_domain)
     }
 
     /// Puts a configuration in force, unless it is older than the present one.
@@ -253,6 +254,7 @@
             return false;
         };
         config.drained = record.drained.clone();
+        config.evacuated = record.evacuated.clone();
         self.config = Arc::new(config);
         self.record = Some(Arc::new(record));
         true
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -85,6 +85,8 @@
     pub service: String,
     /// Tasks that the target runs at once.
     pub slots: u32,
+    /// Failure domain of the gate.
+    pub failure_domain: String,
 }
 
 /// The gate of one target.
@@ -142,8 +144,8 @@
         self.redirects = config.policy.urgent_redirects;
         self.retention = Duration::from_millis(config.ownership.retention_ms);
         self.stops_running = config.policy.cancel_stops_running;
-        let name = &*self.settings.me.name;
-        self.drained = config.drained.iter().any(|drained| drained == name);
+        let settings = &self.settings;
+        self.drained = config.bars(&settings.me.name, &settings.failure_domain);
         self.queue
             .configure(config, self.settings.slots, fleet_slots);
     }
--- a/src/member.rs
+++ b/src/member.rs
@@ -95,6 +95,7 @@
             me: record.id.clone(),
             service: record.service.clone(),
             slots: record.slots,
+            failure_domain: record.failure_domain.clone(),
         };
         let config = fleet.config().clone();
         let me = record.id.clone();
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -59,6 +59,8 @@
             Statement::Cancel(id) => self.cancel(id).await.map(Output::Value),
             Statement::Drain(target) => self.drain(target, true, "").await.map(revision),
             Statement::Undrain(target) => self.drain(target, false, "").await.map(revision),
+            Statement::Evacuate(domain) => self.evacuate(domain, true, "").await.map(revision),
+            Statement::Unevacuate(domain) => self.evacuate(domain, false, "").await.map(revision),
         }
     }
 
@@ -139,10 +141,21 @@
     pub async fn drain(&self, target: &str, drained: bool, note: &str) -> Result<u64> {
         let verb = if drained { "drain" } else { "undrain" };
         let path = format!("/v1/operator/targets/{target}/{verb}");
+        self.switch(&path, note).await
+    }
+
+    /// Evacuates a failure domain, or takes it back; gives the new revision.
+    pub async fn evacuate(&self, domain: &str, evacuated: bool, note: &str) -> Result<u64> {
+        let verb = if evacuated { "evacuate" } else { "unevacuate" };
+        let path = format!("/v1/operator/domains/{domain}/{verb}");
+        self.switch(&path, note).await
+    }
+
+    async fn switch(&self, path: &str, note: &str) -> Result<u64> {
         let body = json!({ "who": self.who, "note": note, "change_id": change_id() });
         let reply = self
             .client
-            .call(Method::POST, &path, &[], body.to_string())
+            .call(Method::POST, path, &[], body.to_string())
             .await?;
         changed(&reply)
     }
--- a/src/query.rs
+++ b/src/query.rs
@@ -7,6 +7,8 @@
 //! cancel 0190a6c2-...
 //! drain logger-intake-03
 //! undrain logger-intake-03
+//! evacuate cumbaya
+//! unevacuate cumbaya
 //! ```
 
 use std::cmp::Ordering;
@@ -51,6 +53,10 @@
     Drain(String),
     /// End a target's drain.
     Undrain(String),
+    /// Evacuate a failure domain.
+    Evacuate(String),
+    /// Take a failure domain back.
+    Unevacuate(String),
 }
 
 /// Rows of a table.
@@ -260,9 +266,13 @@
         name("cancel", "an id").map(Statement::Cancel),
         name("drain", "a target").map(Statement::Drain),
         name("undrain", "a target").map(Statement::Undrain),
+        name("evacuate", "a failure domain").map(Statement::Evacuate),
+        name("unevacuate", "a failure domain").map(Statement::Unevacuate),
         submit,
     ))
-    .context(expected("select, why, submit, cancel, drain or undrain"))
+    .context(expected(
+        "select, why, submit, cancel, drain, undrain, evacuate or unevacuate",
+    ))
     .parse_next(input)
 }
 
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -208,9 +208,11 @@
     }
 }
 
+/// Only the first agent is in the other failure domain.
 fn process(name: &str, store: &str) -> String {
+    let domain = if name == "agent-0" { "b" } else { "a" };
     format!(
-        "process:\n  name: {name}\n  failure_domain: a\n  peer_listen: 127.0.0.1:0\n  \
+        "process:\n  name: {name}\n  failure_domain: {domain}\n  peer_listen: 127.0.0.1:0\n  \
          store: {store}\n  log: error\n"
     )
 }
@@ -333,6 +335,34 @@
     assert!(failures.is_empty(), "{failures:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_failure_domain_gets_no_new_work_until_it_is_taken_back() {
+    let fleet = Fleet::start();
+    fleet.ready().await;
+    let unknown = fleet.winghold(&["evacuate", "nowhere"]);
+    assert!(!unknown.status.success(), "no such domain");
+    let load = fleet.load(1);
+    let evacuated = fleet.winghold(&["evacuate", "b", "--note", "test"]);
+    assert!(evacuated.status.success(), "{}", text(&evacuated));
+    until(async || {
+        let query = "select name from targets where evacuated = true and running = 0";
+        text(&fleet.winghold(&["query", query])).contains("agent-0")
+    })
+    .await;
+    let history = text(&fleet.winghold(&["config", "history"]));
+    assert!(history.contains("evacuated"), "{history}");
+    assert!(fleet.winghold(&["unevacuate", "b"]).status.success());
+    until(async || {
+        let query = "select name from targets where evacuated = false";
+        text(&fleet.winghold(&["query", query])).contains("agent-0")
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (count, failures) = load.end().await;
+    assert!(count > 20, "{count} requests");
+    assert!(failures.is_empty(), "{failures:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_stops_answers_what_is_under_way() {
     let mut fleet = Fleet::start();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -237,6 +237,7 @@
             revision: 1,
             document: CONFIG.to_string(),
             drained: Vec::new(),
+            evacuated: Vec::new(),
             changes: Vec::new(),
         };
         let value = serde_json::to_vec(&record).expect("a record serializes");
