--- a/tests/large_fleet/entries.rs
+++ b/tests/large_fleet/entries.rs
@@ -196,6 +196,10 @@
             ResultCode::Complete => {
                 self.counts.served += 1;
                 self.counts.late += u64::from(late);
+                if !late {
+                    let kind = JobKind::of(id);
+                    self.counts.work_in_time_us += kind.run_us * u64::from(kind.tasks);
+                }
                 if self.watched == Some(index) {
                     self.counts.watched_served += 1;
                     self.counts.watched_late += u64::from(late);
--- a/tests/large_fleet/mod.rs
+++ b/tests/large_fleet/mod.rs
@@ -102,6 +102,8 @@
     pub served: u64,
     /// Of these, answered after the objective.
     pub late: u64,
+    /// Run time of the tasks of jobs that met their objective, in microseconds.
+    pub work_in_time_us: u64,
     /// The same of the entry that is watched.
     pub watched_served: u64,
     pub watched_late: u64,
@@ -122,6 +124,12 @@
         (self.served - self.late) as f64 / all.max(1) as f64
     }
 
+    /// Cores that worked for jobs which met their objective, over `span_us`.
+    pub fn goodput(&self, span_us: u64) -> f64 {
+        let cores = TASK_CPU as f64 / 1e3;
+        self.work_in_time_us as f64 * cores / span_us as f64
+    }
+
     pub fn frames_per_start(&self) -> f64 {
         self.all_frames() as f64 / self.starts.max(1) as f64
     }
