Take evacuations back where the fake fleet is mended, and keep what they found as a red test

Ruled out: load (it fails alone, each time). Change: the end takes evacuations back. Not traced, listed. Conclusion: a finding, open.

--- a/tests/ephemeral_safety.rs
+++ b/tests/ephemeral_safety.rs
@@ -108,6 +108,7 @@
     for worker in &mut fleet.workers {
         worker.hung = false;
     }
+    (0..3).for_each(|gate| fleet.take_back(gate));
     restart(fleet);
     fleet.run_for(60_000_000);
 }
@@ -117,6 +118,22 @@
     given.and_then(|text| text.parse().ok()).unwrap_or(CASES)
 }
 
+/// Seen: two of three failure domains stay evacuated, and a job whose four tasks take 2 s
+/// each, ten times what was expected, is not answered in two minutes on the third, which
+/// has room for all of them: its runs end and begin anew, with numbers that leap.
+#[test]
+fn a_job_is_served_where_one_failure_domain_is_left() {
+    let mut fleet = play(68, limits(), Without::default());
+    fleet.unanswered = 0;
+    for worker in &mut fleet.workers {
+        worker.hung = false;
+    }
+    restart(&mut fleet);
+    fleet.run_for(60_000_000);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+    assert_eq!(fleet.unanswered_without_losses(), 0);
+}
+
 #[test]
 fn promises_hold_under_arbitrary_failures() {
     let mut starts = 0;
