Take a task that a gate keeps apart where there is no other gate

Where one gate is left, the tasks of a job that lost a worker kept each other away there, and the entry sent them again every 10 ms until the job's deadline, for good. Ruled out: the slow worker, the leaping numbers (these come of callers that ask again). Change: a task that a gate has turned away goes there again only if there is no other, and then not as one to be kept apart.

--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -242,8 +242,10 @@
         if choice.wait_us > patience_us {
             return false;
         }
-        let implicated = self.losses.count(id, index) > 0;
         let task = &mut job.tasks[index as usize];
+        // Kept apart where it can be: a gate that turned it away once is tried again only
+        // if there is no other, and the two would go on and on.
+        let implicated = self.losses.count(id, index) > 0 && !task.avoid.contains(&choice.gate);
         task.runs += 1;
         let bounces = task.bounces;
         let movable = task.moves < MOST_MOVES;
--- a/tests/ephemeral_losses.rs
+++ b/tests/ephemeral_losses.rs
@@ -345,6 +345,25 @@
     assert_ne!(bench.starts[2].0, second.0);
 }
 
+/// Where one gate is left, the tasks of a job that lost a worker have nowhere else to go:
+/// seen, they were turned away there every 10 ms until the job's deadline.
+#[test]
+fn a_task_is_not_kept_apart_where_there_is_no_other_gate() {
+    let mut bench = EntryBench::new(1);
+    bench.tell(1, ToEntry::Losses(vec![loss(1, "w-1", false)]));
+    bench.submit(1, job(1, 1), 0);
+    let first = bench.starts[0];
+    bench.ended(first, RunEnd::NotRun(NotRunReason::Apart));
+    let orders = bench.actions.iter().filter_map(|action| match action {
+        DispatchAction::Send {
+            message: ToGate::Start(order),
+            ..
+        } => Some(order.implicated),
+        _ => None,
+    });
+    assert_eq!(orders.collect::<Vec<_>>(), [true, false]);
+}
+
 /// All that was on a lost worker is placed anew at once; the task that crashes workers
 /// would take the others along again.
 #[test]
