Failing tests: a worker that starts again under the name it had

Cause: a worker may start again under its id, with counts and clock from the start; its birth tells its lives apart. The program knows the id alone. Ruled out: telling lives apart by the count of reports: it starts again with the life.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -18,6 +18,7 @@
 use crate::ephemeral::worker::{
     HoldCall, HoldReply, OrderError, OrderedWorker, StartAnswer, WorkerReport,
 };
+use crate::ephemeral::worker_id::WorkerId;
 use crate::metrics::Metrics;
 use crate::time::{Moment, Timer, micros};
 
@@ -48,11 +49,11 @@
     Accepted(TcpStream),
     Session(SessionEvent<ToGate>),
     Report(Box<WorkerReport>),
-    Left(String),
+    Left(WorkerId),
     Recalled(Box<Published>),
     /// With the life of the worker that was meant; so the next one.
-    Started(Arc<str>, RunId, Result<StartAnswer, OrderError>),
-    Stopped(Arc<str>, RunId, Result<(), OrderError>),
+    Started(WorkerId, RunId, Result<StartAnswer, OrderError>),
+    Stopped(WorkerId, RunId, Result<(), OrderError>),
     Held(Moment, HoldCall, Result<HoldReply, OrderError>),
     /// A hold failed, and whether it broke off; its answer follows after a pause.
     HoldFailed(bool),
@@ -77,9 +78,9 @@
         let _ = self.events.send(Event::Recalled(Box::new(published)));
     }
 
-    /// The worker with this id says that it ends.
-    pub fn left(&self, id: &str) {
-        let _ = self.events.send(Event::Left(id.to_string()));
+    /// This life of the worker says that it ends.
+    pub fn left(&self, worker: WorkerId) {
+        let _ = self.events.send(Event::Left(worker));
     }
 
     /// Its failure domain is evacuated, or taken back; `false` if the agent is gone.
@@ -192,7 +193,7 @@
                 }
                 self.gate.recall_losses(published.losses);
             }
-            Event::Left(id) => self.gate.worker_left(now, &id),
+            Event::Left(worker) => self.gate.worker_left(now, &worker),
             Event::Started(worker, run, answer) => {
                 self.gate.start_answered(now, &worker, run, answer);
             }
--- a/src/ephemeral/dispatcher/losses.rs
+++ b/src/ephemeral/dispatcher/losses.rs
@@ -15,6 +15,7 @@
 use crate::ephemeral::job::JobId;
 use crate::ephemeral::losses::{LeftBehind, WorkerLoss};
 use crate::ephemeral::message::ToGate;
+use crate::ephemeral::worker_id::WorkerId;
 use crate::message::Answer;
 use crate::time::Moment;
 
@@ -30,7 +31,7 @@
                 continue;
             }
             info!(self.log, "worker lost under a task"; "job" => %loss.job, "task" => loss.index,
-                "worker" => &loss.worker, "likely" => loss.likely, "ran" => loss.ran,
+                "worker" => %loss.worker, "likely" => loss.likely, "ran" => loss.ran,
                 "losses" => self.losses.count(loss.job, loss.index));
             if let Some(answer) = self.answer_for_losses(loss.job) {
                 self.finish(now, loss.job, answer);
@@ -39,7 +40,7 @@
     }
 
     /// A gate is gone with runs on its worker.
-    pub(super) fn leave_behind(&mut self, now: Moment, name: &Arc<str>, worker: &str) {
+    pub(super) fn leave_behind(&mut self, now: Moment, name: &Arc<str>, worker: &WorkerId) {
         let here = self.open_runs(name);
         if here.is_empty() {
             return;
@@ -47,7 +48,7 @@
         let losses = here.iter().map(|open| WorkerLoss {
             job: open.run.job,
             index: open.run.index,
-            worker: worker.to_string(),
+            worker: worker.clone(),
             likely: false,
             ran: false,
         });
@@ -59,16 +60,16 @@
     }
 
     /// A gate tells its worker: if it is another one than before, the one before is lost.
-    pub(super) fn compare_worker(&mut self, now: Moment, name: &Arc<str>, worker: &str) {
+    pub(super) fn compare_worker(&mut self, now: Moment, name: &Arc<str>, worker: &WorkerId) {
         let Some(left) = self.left_behind.remove(name) else {
             return;
         };
-        let lost = left.losses.into_iter().filter(|loss| loss.worker != worker);
+        let lost = left.losses.into_iter().filter(|loss| loss.worker != *worker);
         let losses: Vec<WorkerLoss> = lost.collect();
         if losses.is_empty() {
             return;
         }
-        info!(self.log, "worker lost with its gate"; "gate" => &**name, "worker" => worker,
+        info!(self.log, "worker lost with its gate"; "gate" => &**name, "worker" => %worker,
             "tasks" => losses.len());
         self.learn_losses(now, &losses);
         if let Some(session) = self.gates.get(name).and_then(|gate| gate.session) {
--- a/src/ephemeral/gate/life.rs
+++ b/src/ephemeral/gate/life.rs
@@ -5,6 +5,7 @@
 
 use crate::ephemeral::limits::SLOW_CLOCK;
 use crate::ephemeral::message::WorkerTraits;
+use crate::ephemeral::worker_id::WorkerId;
 use crate::time::{Moment, micros};
 
 /// Wait beyond a lease's computed end before its runs count as over; covers the
@@ -49,9 +50,9 @@
         }
     }
 
-    /// Id of this life.
-    pub fn id(&self) -> Arc<str> {
-        Arc::from(self.traits.id.as_str())
+    /// Which life it is.
+    pub fn id(&self) -> WorkerId {
+        self.traits.id.clone()
     }
 
     /// The worker's clock read `clock_ms` no later than now.
--- a/src/ephemeral/gate/losses.rs
+++ b/src/ephemeral/gate/losses.rs
@@ -14,6 +14,7 @@
 use crate::ephemeral::losses::{WorkerLoss, is_likely, went_on};
 use crate::ephemeral::message::{ProcessId, ToEntry};
 use crate::ephemeral::worker::{OrderError, StartAnswer, StartReply};
+use crate::ephemeral::worker_id::WorkerId;
 use crate::time::{Moment, micros};
 
 /// Newest losses that a gate keeps and tells entries that connect.
@@ -50,7 +51,7 @@
 impl Gate {
     /// The worker is lost, with all that was on it. Of an order without an answer yet its
     /// answer will tell: it may have met a worker that was gone already.
-    pub(super) fn note_losses(&mut self, now: Moment, worker: &str) {
+    pub(super) fn note_losses(&mut self, now: Moment, worker: &WorkerId) {
         let open = self
             .runs
             .iter()
@@ -96,7 +97,7 @@
     /// the present life turns out to be over, unless it is heard before. If it lets orders
     /// go unanswered, it may have crashed and stay silent: that is told at once. Otherwise
     /// this gate may have stood still, or the next life answers already.
-    pub(super) fn doubt_runs(&mut self, now: Moment, worker: &str) {
+    pub(super) fn doubt_runs(&mut self, now: Moment, worker: &WorkerId) {
         let doubted = self.runs_on(now, worker);
         if self.is_mute(now) {
             let possible = doubted.iter().map(Lost::as_possible).collect();
@@ -105,7 +106,7 @@
         self.in_doubt.extend(doubted);
     }
 
-    fn runs_on(&self, now: Moment, worker: &str) -> Vec<Lost> {
+    fn runs_on(&self, now: Moment, worker: &WorkerId) -> Vec<Lost> {
         let out = || {
             self.runs
                 .iter()
@@ -123,7 +124,7 @@
                 ran: known && self.ran_at_loss(now, record),
                 ..loss_of(*run, worker)
             };
-            info!(self.log, "run lost with its worker"; "run" => %run, "worker" => worker,
+            info!(self.log, "run lost with its worker"; "run" => %run, "worker" => %worker,
                 "state" => ?record.state, "age_us" => age_us, "likely" => loss.likely,
                 "ran" => loss.ran, "expected_us" => record.expected_us);
             Lost {
@@ -237,11 +238,11 @@
 }
 
 /// A loss of which nothing more is known.
-fn loss_of(run: RunId, worker: &str) -> WorkerLoss {
+fn loss_of(run: RunId, worker: &WorkerId) -> WorkerLoss {
     WorkerLoss {
         job: run.job,
         index: run.index,
-        worker: worker.to_string(),
+        worker: worker.clone(),
         likely: false,
         ran: false,
     }
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -36,6 +36,7 @@
 use crate::ephemeral::room::Room;
 use crate::ephemeral::session::SessionId;
 use crate::ephemeral::worker::{HoldCall, StartCall, StopCall};
+use crate::ephemeral::worker_id::WorkerId;
 use crate::time::{Moment, micros};
 use evacuation::Evacuation;
 use health::Health;
@@ -177,8 +178,8 @@
     log: Logger,
     life: Option<Life>,
     successor: Option<Successor>,
-    /// Ids of lives that are known to be over.
-    past_lives: VecDeque<String>,
+    /// Lives that are known to be over.
+    past_lives: VecDeque<WorkerId>,
     /// Losses of its workers, newest last.
     losses: VecDeque<WorkerLoss>,
     /// What was on the present life when its lease ran out, unless it was heard since.
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -11,6 +11,7 @@
 use crate::ephemeral::worker::{
     EndedRow, HoldCall, HoldReply, OrderError, RunningRow, StartAnswer, StartReply, WorkerEnd,
 };
+use crate::ephemeral::worker_id::WorkerId;
 use crate::time::{Moment, micros};
 
 /// Wait of a hold for an end while something runs: a hold may be lost, and no end
@@ -40,13 +41,13 @@
     pub fn start_answered(
         &mut self,
         now: Moment,
-        worker: &str,
+        worker: &WorkerId,
         run: RunId,
         answer: Result<StartAnswer, OrderError>,
     ) {
         self.answer_of_lost(run, &answer);
         if !self.is_present(worker) {
-            debug!(self.log, "answer for a past life"; "run" => %run, "worker" => worker);
+            debug!(self.log, "answer for a past life"; "run" => %run, "worker" => %worker);
             return;
         }
         if let Ok(answer) = &answer
@@ -112,7 +113,7 @@
     pub fn stop_answered(
         &mut self,
         now: Moment,
-        worker: &str,
+        worker: &WorkerId,
         run: RunId,
         answer: Result<(), OrderError>,
     ) {
--- a/src/ephemeral/gate/worker_life.rs
+++ b/src/ephemeral/gate/worker_life.rs
@@ -18,6 +18,7 @@
 use crate::ephemeral::job::RunId;
 use crate::ephemeral::message::{NotRunReason, RunEnd};
 use crate::ephemeral::worker::WorkerReport;
+use crate::ephemeral::worker_id::WorkerId;
 use crate::time::{Moment, micros};
 
 /// Unanswered orders in a row from which the worker counts as mute, if it has
@@ -83,7 +84,7 @@
         life.sequence = report.sequence;
         life.heard_clock(now, report.clock_ms);
         if life.traits.capacity != report.capacity {
-            info!(self.log, "worker's capacity changed"; "worker" => &report.id,
+            info!(self.log, "worker's capacity changed"; "worker" => %report.id,
                 "cpu_milli" => report.capacity.cpu_milli,
                 "before_cpu_milli" => life.traits.capacity.cpu_milli);
             let mut record = report.record();
@@ -95,7 +96,7 @@
             self.actions.push(GateAction::Aim(record));
         }
         if report.leaving && !life.leaving {
-            info!(self.log, "worker is leaving"; "worker" => &report.id,
+            info!(self.log, "worker is leaving"; "worker" => %report.id,
                 "leaves_in_ms" => report.leaves_in_ms);
             life.leaving = true;
             self.load_changed = true;
@@ -107,7 +108,7 @@
     /// once, as there is none.
     fn consider_life(&mut self, now: Moment, report: &WorkerReport) -> bool {
         if self.past_lives.contains(&report.id) {
-            info!(self.log, "report of a past life"; "worker" => &report.id,
+            info!(self.log, "report of a past life"; "worker" => %report.id,
                 "sequence" => report.sequence);
             return false;
         }
@@ -115,7 +116,7 @@
             self.follow_life(now, report);
             return true;
         }
-        info!(self.log, "report of another life"; "worker" => &report.id,
+        info!(self.log, "report of another life"; "worker" => %report.id,
             "leaving" => report.leaving);
         self.successor = Some(Successor {
             report: report.clone(),
@@ -128,7 +129,7 @@
     }
 
     fn follow_life(&mut self, now: Moment, report: &WorkerReport) {
-        info!(self.log, "worker found"; "worker" => &report.id, "addr" => &report.addr,
+        info!(self.log, "worker found"; "worker" => %report.id, "addr" => &report.addr,
             "cpu_milli" => report.capacity.cpu_milli, "leaving" => report.leaving);
         self.adopt_life(now, &report.record());
     }
@@ -139,7 +140,7 @@
         let stays = self.life.as_ref().is_some_and(|life| !life.leaving);
         let old = |successor: &Successor| stays && successor.at_us <= asked_us;
         if let Some(successor) = self.successor.take_if(|successor| old(successor)) {
-            info!(self.log, "report was of a past life"; "worker" => &successor.report.id);
+            info!(self.log, "report was of a past life"; "worker" => %successor.report.id);
         }
     }
 
@@ -165,11 +166,11 @@
     }
 
     /// No report of this life is believed any more.
-    fn bar_life(&mut self, id: &str) {
+    fn bar_life(&mut self, id: &WorkerId) {
         if self.past_lives.len() == MOST_PAST_LIVES {
             self.past_lives.pop_front();
         }
-        self.past_lives.push_back(id.to_string());
+        self.past_lives.push_back(id.clone());
     }
 
     /// The worker said that the life that was meant is not there any more.
@@ -187,7 +188,7 @@
         if self.life.is_some() {
             return;
         }
-        info!(self.log, "worker recalled"; "worker" => &worker.traits.id, "addr" => &worker.addr);
+        info!(self.log, "worker recalled"; "worker" => %worker.traits.id, "addr" => &worker.addr);
         self.adopt_life(now, worker);
     }
 
@@ -205,7 +206,7 @@
     }
 
     /// The worker says that it ends.
-    pub fn worker_left(&mut self, now: Moment, id: &str) {
+    pub fn worker_left(&mut self, now: Moment, id: &WorkerId) {
         self.bar_life(id);
         if self.is_present(id) {
             self.life_is_over(now, LifeEnd::Left);
@@ -217,7 +218,7 @@
         let Some(life) = self.life.take() else {
             return;
         };
-        info!(self.log, "worker gone"; "worker" => &life.traits.id, "why" => end.name());
+        info!(self.log, "worker gone"; "worker" => %life.traits.id, "why" => end.name());
         // A worker that leaves has said when; what is still there was given too late.
         if end != LifeEnd::Left && !life.leaving {
             self.note_losses(now, &life.traits.id);
@@ -234,9 +235,9 @@
     }
 
     /// Whether this is the present life of the worker.
-    pub(super) fn is_present(&self, id: &str) -> bool {
+    pub(super) fn is_present(&self, id: &WorkerId) -> bool {
         let life = self.life.as_ref();
-        life.is_some_and(|life| life.traits.id == id)
+        life.is_some_and(|life| life.traits.id == *id)
     }
 
     /// Whether the worker lets orders go unanswered, one after the other.
--- a/src/ephemeral/losses.rs
+++ b/src/ephemeral/losses.rs
@@ -21,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ephemeral::job::JobId;
+use crate::ephemeral::worker_id::WorkerId;
 use crate::time::{Moment, micros};
 
 /// Losses after which a task is given up in any case: two starts that are under way
@@ -56,8 +57,8 @@
     pub job: JobId,
     /// The task's place in the job.
     pub index: u32,
-    /// Id of the worker's life.
-    pub worker: String,
+    /// The worker's life.
+    pub worker: WorkerId,
     /// Whether the task is the likeliest reason: it had just begun, later than others.
     pub likely: bool,
     /// Whether it is known that the worker crashed while it ran the task. Otherwise the run
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -14,6 +14,7 @@
 use crate::ephemeral::job::{Resources, RunId, Urgency};
 use crate::ephemeral::losses::WorkerLoss;
 use crate::ephemeral::session::SessionId;
+use crate::ephemeral::worker_id::WorkerId;
 use crate::metrics::Metrics;
 
 /// One life of a process.
@@ -356,8 +357,8 @@
 /// What a worker is, for placement.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerTraits {
-    /// Id of the worker's life.
-    pub id: String,
+    /// The worker's life.
+    pub id: WorkerId,
     /// Service that it runs tasks of.
     pub service: String,
     /// What it has now.
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -42,3 +42,4 @@
 pub mod subset;
 pub mod suspension;
 pub mod worker;
+pub mod worker_id;
--- a/src/ephemeral/worker.rs
+++ b/src/ephemeral/worker.rs
@@ -15,12 +15,13 @@
 use crate::ephemeral::directory::WorkerRecord;
 use crate::ephemeral::job::{Resources, RunId};
 use crate::ephemeral::message::WorkerTraits;
+use crate::ephemeral::worker_id::WorkerId;
 
 /// What a worker says of itself from time to time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerReport {
-    /// Id of this life of the worker.
-    pub id: String,
+    /// This life of the worker.
+    pub id: WorkerId,
     /// Service that it runs tasks of.
     pub service: String,
     /// Address for orders.
@@ -64,7 +65,7 @@
 #[derive(Clone, Debug)]
 pub struct StartCall {
     /// Life of the worker that is meant.
-    pub worker: Arc<str>,
+    pub worker: WorkerId,
     /// The run.
     pub run: RunId,
     /// What the task is given.
@@ -81,7 +82,7 @@
 #[derive(Clone, Debug)]
 pub struct StopCall {
     /// Life of the worker that is meant.
-    pub worker: Arc<str>,
+    pub worker: WorkerId,
     /// The run.
     pub run: RunId,
     /// Fencing token.
@@ -107,7 +108,7 @@
 #[derive(Clone, Debug)]
 pub struct HoldCall {
     /// Life of the worker that is meant; any, if unknown.
-    pub worker: Option<Arc<str>>,
+    pub worker: Option<WorkerId>,
     /// Fencing token; none while the gate has not chosen its own.
     pub fence: Option<u64>,
     /// New end of the lease on the worker's clock, in milliseconds.
@@ -167,6 +168,8 @@
 /// Answer to a hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HoldReply {
+    /// When the life that answers started, in Unix milliseconds, where workers tell it.
+    pub born_ms: Option<u64>,
     /// The worker's clock, in milliseconds.
     pub clock_ms: u64,
     /// Whether the worker has seen a higher fencing token; the lists are empty
--- a/tests/ephemeral_directory.rs
+++ b/tests/ephemeral_directory.rs
@@ -162,7 +162,7 @@
 fn worker(id: &str) -> WorkerRecord {
     WorkerRecord {
         traits: WorkerTraits {
-            id: id.to_string(),
+            id: id.into(),
             ..WorkerTraits::default()
         },
         addr: String::new(),
--- a/tests/ephemeral_fleet/crashes.rs
+++ b/tests/ephemeral_fleet/crashes.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use winghold::ephemeral::job::{JobId, RunId};
+use winghold::ephemeral::worker_id::WorkerId;
 
 use super::Fleet;
 
@@ -42,7 +43,7 @@
 struct Due {
     at_us: u64,
     worker: usize,
-    life: String,
+    life: WorkerId,
     task: (JobId, u32),
     harm: Harm,
 }
@@ -105,6 +106,15 @@
         self.crashes.back_us.insert(index, self.now_us + down_us);
     }
 
+    /// A worker goes down for a while and starts again under its name.
+    pub fn take_down_and_restart(&mut self, index: usize, down: Down, down_us: u64) {
+        self.restart_worker(index, 0);
+        let worker = &mut self.workers[index];
+        worker.up = false;
+        worker.refuses = down == Down::Refuses;
+        self.crashes.back_us.insert(index, self.now_us + down_us);
+    }
+
     /// The machine of a gate is disturbed for a while from now on.
     pub fn disturb_gate(&mut self, gate: usize, for_us: u64) {
         let until_us = self.crashes.disturbed_us.entry(gate).or_default();
--- a/tests/ephemeral_fleet/gates.rs
+++ b/tests/ephemeral_fleet/gates.rs
@@ -74,7 +74,7 @@
                     process.gate.stop_answered(now, &meant, run, answer);
                 }
                 Answered::Hold(sent, call, answers) => {
-                    let same = call.worker.as_deref() == Some(worker.id.as_str());
+                    let same = worker.is_named_in(&call);
                     let answer = match (answers && worker.up, same) {
                         (false, _) if !worker.up && worker.refuses => Err(OrderError::Refused),
                         (false, _) => Err(OrderError::Unanswered),
--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -34,6 +34,7 @@
 use winghold::ephemeral::worker::{
     HoldCall, OrderError, StartAnswer, StartCall, StopCall, WorkerReport,
 };
+use winghold::ephemeral::worker_id::WorkerId;
 use winghold::logging;
 use winghold::time::Moment;
 use worker::FakeWorker;
@@ -120,8 +121,8 @@
 
 enum Answered {
     /// With the life of the worker that was meant; so the next one.
-    Start(Arc<str>, RunId, Result<StartAnswer, OrderError>),
-    Stop(Arc<str>, RunId, Result<(), OrderError>),
+    Start(WorkerId, RunId, Result<StartAnswer, OrderError>),
+    Stop(WorkerId, RunId, Result<(), OrderError>),
     Hold(Moment, HoldCall, bool),
 }
 
@@ -156,8 +157,10 @@
     pub workers: Vec<FakeWorker>,
     /// Time that clocks have missed, by the number of the process.
     missed_us: HashMap<usize, i64>,
-    /// Ids of the workers' lives before the last crash.
-    past_workers: Vec<Option<String>>,
+    /// The workers' lives before the last crash.
+    past_workers: Vec<Option<WorkerId>>,
+    /// Whether workers tell when they started.
+    births: bool,
     /// Gates whose failure domains are evacuated, by when they heard or will hear of it.
     evacuated: HashMap<usize, u64>,
     /// Losses in the records of gates, which outlive them.
@@ -187,8 +190,17 @@
         Fleet::with_gates(3, seed, limits, without)
     }
 
+    /// The same with workers that tell when they started.
+    pub fn with_births(seed: u64, limits: Limits) -> Fleet {
+        Fleet::build(3, true, seed, limits, Without::default())
+    }
+
     /// Three entries and `gates` gates, each with a worker.
     pub fn with_gates(gates: usize, seed: u64, limits: Limits, without: Without) -> Fleet {
+        Fleet::build(gates, false, seed, limits, without)
+    }
+
+    fn build(gates: usize, births: bool, seed: u64, limits: Limits, without: Without) -> Fleet {
         let capacity = |slots: u64| Resources {
             cpu_milli: CPU * slots,
             memory_mb: 64_000,
@@ -196,7 +208,11 @@
         };
         let worker = |index: usize| {
             let rate = [1.0, 0.98, 0.99][index % 3];
-            FakeWorker::new(format!("w{index}-0"), capacity(4 + index as u64), rate)
+            let id = WorkerId {
+                name: format!("w{index}-0").into(),
+                born_ms: births.then_some(1),
+            };
+            FakeWorker::new(id, capacity(4 + index as u64), rate)
         };
         let mut fleet = Fleet {
             now_us: 1_000_000,
@@ -207,6 +223,7 @@
             workers: (0..gates).map(worker).collect(),
             missed_us: HashMap::new(),
             past_workers: vec![None; gates],
+            births,
             evacuated: HashMap::new(),
             recorded: vec![Vec::new(); gates],
             connections: Vec::new(),
@@ -386,7 +403,7 @@
         }
     }
 
-    fn report_of(&self, index: usize, id: String) -> WorkerReport {
+    fn report_of(&self, index: usize, id: WorkerId) -> WorkerReport {
         let worker = &self.workers[index];
         WorkerReport {
             id,
@@ -397,7 +414,7 @@
             capacity: worker.capacity,
             labels: Vec::new(),
             clock_ms: worker.clock_ms(self.now_us),
-            sequence: self.now_us,
+            sequence: worker.clock_ms(self.now_us),
         }
     }
 
@@ -405,10 +422,38 @@
         self.note_crash(index);
         self.past_workers[index] = Some(self.workers[index].id.clone());
         self.lives += 1;
-        let id = format!("w{index}-{}", self.lives);
+        let id = WorkerId {
+            name: format!("w{index}-{}", self.lives).into(),
+            born_ms: self.births.then_some(self.now_us / 1_000),
+        };
         self.workers[index].crash(id);
     }
 
+    /// A worker crashes and starts again under its name. `stepped_ms` is how far its wall
+    /// clock was put back meanwhile.
+    pub fn restart_worker(&mut self, index: usize, stepped_ms: u64) {
+        self.note_crash(index);
+        self.past_workers[index] = Some(self.workers[index].id.clone());
+        let born_ms = (self.now_us / 1_000).saturating_sub(stepped_ms);
+        self.workers[index].restart(self.now_us, born_ms);
+    }
+
+    /// A departure arrives that a life of the worker sent before its last crash.
+    pub fn late_departure(&mut self, index: usize) {
+        let now = self.gate_moment(index);
+        let Some(id) = self.past_workers[index].clone() else {
+            return;
+        };
+        // It names the worker only.
+        let named = WorkerId {
+            born_ms: None,
+            ..id
+        };
+        if let Some(process) = &mut self.gates[index] {
+            process.gate.worker_left(now, &named);
+        }
+    }
+
     pub fn stop_gate(&mut self, index: usize) {
         let now = self.gate_moment(index);
         if let Some(gate) = &mut self.gates[index] {
--- a/tests/ephemeral_fleet/orders.rs
+++ b/tests/ephemeral_fleet/orders.rs
@@ -81,7 +81,7 @@
         }
         let answer = match lost {
             true => Err(OrderError::Unanswered),
-            false if *meant != *self.workers[index].id => Err(OrderError::OtherLife),
+            false if meant.name != self.workers[index].id.name => Err(OrderError::OtherLife),
             false if self.workers[index].stop(self.now_us, run, fence) => Ok(()),
             // The platform answers 409, which the adapter takes for no answer.
             false => Err(OrderError::Protocol),
@@ -93,7 +93,7 @@
 
     pub(super) fn order_hold(&mut self, index: usize, call: HoldCall) {
         let (lost, _) = self.fate(index);
-        if !lost && call.worker.as_deref() == Some(self.workers[index].id.as_str()) {
+        if !lost && self.workers[index].is_named_in(&call) {
             // The lease counts from the arrival, the lists from the answer.
             let renewal = HoldCall {
                 acked_end: call.acked_end,
@@ -125,7 +125,7 @@
                 Late::Start(index, call) => {
                     self.begin(index, &call);
                 }
-                Late::Stop(index, call) if *call.worker == *self.workers[index].id => {
+                Late::Stop(index, call) if call.worker.name == self.workers[index].id.name => {
                     self.workers[index].stop(now_us, call.run, call.fence);
                 }
                 Late::Stop(..) => {}
--- a/tests/ephemeral_fleet/worker.rs
+++ b/tests/ephemeral_fleet/worker.rs
@@ -6,6 +6,7 @@
 use winghold::ephemeral::worker::{
     EndedRow, HoldCall, HoldReply, RunningRow, StartCall, StartReply, WorkerEnd,
 };
+use winghold::ephemeral::worker_id::WorkerId;
 
 /// How long a worker takes to stop a run.
 const STOP_US: u64 = 50_000;
@@ -18,7 +19,9 @@
 }
 
 pub struct FakeWorker {
-    pub id: String,
+    pub id: WorkerId,
+    /// When its clock started.
+    clock_from_us: u64,
     pub up: bool,
     /// While it is down: nothing listens, which callers are told.
     pub refuses: bool,
@@ -38,9 +41,10 @@
 }
 
 impl FakeWorker {
-    pub fn new(id: String, capacity: Resources, rate: f64) -> FakeWorker {
+    pub fn new(id: WorkerId, capacity: Resources, rate: f64) -> FakeWorker {
         FakeWorker {
             id,
+            clock_from_us: 0,
             up: true,
             refuses: false,
             mute_until_us: 0,
@@ -57,7 +61,13 @@
     }
 
     pub fn clock_ms(&self, now_us: u64) -> u64 {
-        (now_us as f64 * self.rate / 1_000.0) as u64 + 1_000
+        ((now_us - self.clock_from_us) as f64 * self.rate / 1_000.0) as u64 + 1_000
+    }
+
+    /// Whether a question is for it, as far as its name tells.
+    pub fn is_named_in(&self, call: &HoldCall) -> bool {
+        let meant = call.worker.as_ref();
+        meant.is_some_and(|meant| meant.name == self.id.name)
     }
 
     pub fn running(&self) -> impl Iterator<Item = RunId> {
@@ -70,11 +80,21 @@
             .any(|run| (run.job, run.index) == (job, index))
     }
 
-    pub fn crash(&mut self, next_id: String) {
+    pub fn crash(&mut self, next_id: WorkerId) {
         let (capacity, rate) = (self.capacity, self.rate);
         *self = FakeWorker::new(next_id, capacity, rate);
     }
 
+    /// Crashes and starts again under its name; its clock starts anew.
+    pub fn restart(&mut self, now_us: u64, born_ms: u64) {
+        let next = WorkerId {
+            name: self.id.name.clone(),
+            born_ms: Some(born_ms),
+        };
+        self.crash(next);
+        self.clock_from_us = now_us;
+    }
+
     /// Lets time pass: ends, stops and lapsed leases.
     pub fn advance(&mut self, now_us: u64) {
         let lapsed = self.clock_ms(now_us) > self.lease_until_ms;
@@ -105,7 +125,7 @@
 
     /// Carries a start out; `true` if a new run began.
     pub fn start(&mut self, now_us: u64, call: &StartCall, work_us: u64) -> (StartReply, bool) {
-        if *call.worker != *self.id {
+        if call.worker.name != self.id.name {
             return (StartReply::OtherLife, false);
         }
         if !self.admits(call.fence) {
@@ -156,6 +176,7 @@
     pub fn hold(&mut self, now_us: u64, call: &HoldCall) -> HoldReply {
         if !self.admits(call.fence.unwrap_or(0)) {
             return HoldReply {
+                born_ms: self.id.born_ms,
                 clock_ms: self.clock_ms(now_us),
                 fenced: true,
                 ..HoldReply::default()
@@ -177,6 +198,7 @@
             percent: percent(state),
         });
         HoldReply {
+            born_ms: self.id.born_ms,
             clock_ms: self.clock_ms(now_us),
             fenced: false,
             running: running.collect(),
--- a/tests/ephemeral_losses.rs
+++ b/tests/ephemeral_losses.rs
@@ -31,7 +31,7 @@
     WorkerLoss {
         job: JobId(job),
         index: 0,
-        worker: worker.to_string(),
+        worker: worker.into(),
         likely: false,
         ran: false,
     }
@@ -120,7 +120,7 @@
     assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
     assert!(told(&bench).is_empty() && recorded(&bench).is_empty());
     let mut bench = running(10);
-    bench.gate.worker_left(bench.now, "w");
+    bench.gate.worker_left(bench.now, &"w".into());
     bench.collect();
     assert!(told(&bench).is_empty());
 }
@@ -299,14 +299,14 @@
     for refused in [OrderError::Refused, OrderError::OtherLife] {
         bench
             .gate
-            .start_answered(bench.now, "w", run(1), Err(refused));
+            .start_answered(bench.now, &"w".into(), run(1), Err(refused));
         bench
             .gate
-            .stop_answered(bench.now, "w", run(1), Err(refused));
+            .stop_answered(bench.now, &"w".into(), run(1), Err(refused));
     }
     bench.collect();
     assert!(bench.ends().is_empty() && told(&bench).is_empty());
-    assert_eq!(bench.last_load().worker.unwrap().id, "w-2");
+    assert_eq!(bench.last_load().worker.unwrap().id, "w-2".into());
 }
 
 /// Entries keep their own apart; two that come from two entries would be lost together,
@@ -462,7 +462,7 @@
 
 fn worker_is(id: &str) -> GateLoad {
     let worker = WorkerTraits {
-        id: id.to_string(),
+        id: id.into(),
         ..(**load(1_000, 0).worker.as_ref().unwrap()).clone()
     };
     GateLoad {
--- a/tests/ephemeral_safety.rs
+++ b/tests/ephemeral_safety.rs
@@ -7,6 +7,7 @@
 
 use bolero::TypeGenerator;
 use bolero::generator::bolero_generator::driver::{ByteSliceDriver, Options};
+use ephemeral_fleet::crashes::Down;
 use ephemeral_fleet::{Fleet, Without, limits};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -196,6 +197,63 @@
     assert!(starts > 500, "{starts} starts");
 }
 
+/// What happens to workers that start again under the name they had.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Lives {
+    Otherwise(Happening),
+    AndThen(Happening),
+    Restart(u8),
+    /// Its wall clock was put back meanwhile.
+    RestartEarlier(u8, u8),
+    /// It is down for a while; its connections are reset, or it falls silent.
+    Down(u8, u8, bool),
+    LateReport(u8),
+    LateDeparture(u8),
+}
+
+fn apply_to_lives(fleet: &mut Fleet, change: Lives) {
+    let pick = |which: u8| usize::from(which % 3);
+    match change {
+        Lives::Otherwise(happening) | Lives::AndThen(happening) => apply(fleet, happening),
+        Lives::Restart(which) => fleet.restart_worker(pick(which), 0),
+        Lives::RestartEarlier(which, by) => {
+            fleet.restart_worker(pick(which), u64::from(by) * 40);
+        }
+        Lives::Down(which, length, refuses) => {
+            let down = match refuses {
+                true => Down::Refuses,
+                false => Down::Silent,
+            };
+            fleet.take_down_and_restart(pick(which), down, u64::from(length) * 12_000);
+        }
+        Lives::LateReport(which) => fleet.late_report(pick(which)),
+        Lives::LateDeparture(which) => fleet.late_departure(pick(which)),
+    }
+}
+
+/// The same failures while workers start again under the names they had.
+#[test]
+fn promises_hold_while_workers_start_again_under_their_names() {
+    let mut starts = 0;
+    for seed in 0..cases() {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let bytes: Vec<u8> = (0..4_096).map(|_| rng.random()).collect();
+        let mut driver = ByteSliceDriver::new(&bytes, &Options::default());
+        let mut fleet = Fleet::with_births(seed, limits());
+        for _ in 0..LENGTH {
+            if let Some(change) = Lives::generate(&mut driver) {
+                apply_to_lives(&mut fleet, change);
+            }
+        }
+        settle(&mut fleet);
+        assert_eq!(fleet.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(fleet.unanswered_without_losses(), 0, "seed {seed}");
+        assert!(fleet.running().is_empty(), "seed {seed}");
+        starts += fleet.starts;
+    }
+    assert!(starts > 500, "{starts} starts");
+}
+
 /// Cases among which one must break a promise once a guard is out; the rarest
 /// took 2,621.
 const BREAKING_CASES: u64 = 10_000;
--- a/tests/ephemeral_subset.rs
+++ b/tests/ephemeral_subset.rs
@@ -27,7 +27,7 @@
 /// A gate whose worker has a rack of twelve.
 fn record(index: usize) -> GateRecord {
     let traits = WorkerTraits {
-        id: format!("w{index}"),
+        id: format!("w{index}").as_str().into(),
         service: "s".into(),
         capacity: Resources {
             cpu_milli: ROOM,
--- a/tests/ephemeral_worker_life.rs
+++ b/tests/ephemeral_worker_life.rs
@@ -63,7 +63,7 @@
     assert!(bench.ends().is_empty(), "the report may be an old one");
     bench.another_life_answers();
     assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
-    assert_eq!(bench.worker(), "w2");
+    assert_eq!(bench.worker(), "w2".into());
 }
 
 /// A report that was held up on its way told of a life that had crashed before the
@@ -81,7 +81,7 @@
     bench.order(run(2), 600, 100);
     assert!(bench.ends().is_empty());
     assert_eq!(bench.ordered(), [run(1)], "the room is still taken");
-    assert_eq!(bench.worker(), "w");
+    assert_eq!(bench.worker(), "w".into());
     bench.another_life_answers();
     assert_eq!(
         bench.last_load().worker,
@@ -95,7 +95,7 @@
     let mut bench = Bench::ready();
     bench.gate.worker_report(bench.now, report("w2", false, 1));
     bench.another_life_answers();
-    assert_eq!(bench.worker(), "w2");
+    assert_eq!(bench.worker(), "w2".into());
     bench.gate.worker_report(bench.now, report("w", false, 50));
     bench.another_life_answers();
     bench.gate.worker_report(bench.now, report("w", false, 51));
@@ -115,7 +115,7 @@
     bench.stopped(run(2), Err(OrderError::OtherLife));
     bench.pass(20);
     let worker = bench.last_load().worker.map(|worker| worker.id.clone());
-    assert_eq!(worker.as_deref(), Some("w2"));
+    assert_eq!(worker, Some("w2".into()));
 }
 
 #[test]
@@ -125,7 +125,7 @@
     bench.actions.clear();
     bench.started(run(1), Ok(StartReply::OtherLife));
     let asked = bench.actions.iter().any(|action| match action {
-        GateAction::Hold(call) => call.check && call.worker.as_deref() == Some("w"),
+        GateAction::Hold(call) => call.check && call.worker == Some("w".into()),
         _ => false,
     });
     assert!(asked);
@@ -136,7 +136,7 @@
 #[test]
 fn a_life_that_said_goodbye_does_not_come_back() {
     let mut bench = Bench::ready();
-    bench.gate.worker_left(bench.now, "w");
+    bench.gate.worker_left(bench.now, &"w".into());
     bench.gate.worker_report(bench.now, report("w", false, 50));
     bench.pass(20);
     assert_eq!(bench.last_load().worker, None);
@@ -147,7 +147,7 @@
     let mut bench = Bench::unlisted();
     bench.gate.worker_report(bench.now, report("w2", false, 1));
     bench.another_life_answers();
-    assert_eq!(bench.worker(), "w2");
+    assert_eq!(bench.worker(), "w2".into());
 }
 
 #[test]
@@ -161,14 +161,14 @@
     }
     bench.gate.worker_report(bench.now, report("w2", false, 1));
     bench.pass(100);
-    assert_eq!(bench.worker(), "w");
+    assert_eq!(bench.worker(), "w".into());
     assert!(bench.ends().is_empty());
     for _ in 0..8 {
         bench.gate.heard(bench.now, ENTRY);
         bench.pass(100);
     }
     assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
-    assert_eq!(bench.worker(), "w2");
+    assert_eq!(bench.worker(), "w2".into());
 }
 
 /// A report of the present life with this capacity.
--- a/tests/gate_bench/mod.rs
+++ b/tests/gate_bench/mod.rs
@@ -13,6 +13,7 @@
     EndedRow, HoldCall, HoldReply, OrderError, RunningRow, StartAnswer, StartReply, WorkerEnd,
     WorkerReport,
 };
+use winghold::ephemeral::worker_id::WorkerId;
 use winghold::logging;
 use winghold::time::Moment;
 
@@ -59,7 +60,7 @@
 
 pub fn report(id: &str, leaving: bool, sequence: u64) -> WorkerReport {
     WorkerReport {
-        id: id.to_string(),
+        id: id.into(),
         service: "s".into(),
         addr: "10.0.0.1:80".into(),
         leaving,
@@ -76,8 +77,8 @@
 }
 
 impl Bench {
-    /// A gate whose worker was found, without its lists yet.
-    pub fn unlisted() -> Bench {
+    /// A gate that knows no worker.
+    pub fn empty() -> Bench {
         let limits = Limits::new(
             std::time::Duration::from_millis(1_300),
             std::time::Duration::from_secs(1),
@@ -88,7 +89,7 @@
             mono_us: 1_000_000,
             wall_ms: 0,
         };
-        let mut bench = Bench {
+        Bench {
             gate,
             now,
             actions: Vec::new(),
@@ -96,7 +97,12 @@
             movable: true,
             implicated: false,
             expected_us: 100 * MS,
-        };
+        }
+    }
+
+    /// A gate whose worker was found, without its lists yet.
+    pub fn unlisted() -> Bench {
+        let mut bench = Bench::empty();
         bench.gate.worker_report(bench.now, report("w", false, 1));
         bench.collect();
         bench.answer_first_hold();
@@ -209,6 +215,7 @@
             .into_iter()
             .map(|(number, run, end)| EndedRow { number, run, end });
         let reply = HoldReply {
+            born_ms: None,
             clock_ms: 5_000,
             fenced: false,
             running: running.collect(),
@@ -222,7 +229,7 @@
     /// The worker says that the life that the gate means is not there.
     pub fn another_life_answers(&mut self) {
         let call = HoldCall {
-            worker: Some(self.worker().into()),
+            worker: Some(self.worker()),
             fence: None,
             lease_until_ms: None,
             acked_end: 0,
@@ -237,13 +244,13 @@
         self.pass(20);
     }
 
-    /// Id of the worker that orders go to.
-    pub fn worker(&self) -> String {
+    /// The worker that orders go to.
+    pub fn worker(&self) -> WorkerId {
         let aims = self.actions.iter().filter_map(|action| match action {
             GateAction::Aim(worker) => Some(worker.traits.id.clone()),
             _ => None,
         });
-        aims.last().unwrap_or_else(|| "w".to_string())
+        aims.last().unwrap_or_else(|| "w".into())
     }
 
     pub fn ordered(&self) -> Vec<RunId> {
--- a/tests/large_fleet/mod.rs
+++ b/tests/large_fleet/mod.rs
@@ -22,6 +22,7 @@
 use winghold::ephemeral::message::{ProcessId, ToEntry, ToGate, WorkerTraits};
 use winghold::ephemeral::routes::Route;
 use winghold::ephemeral::session::SessionId;
+use winghold::ephemeral::worker_id::WorkerId;
 use winghold::time::Moment;
 
 use super::ephemeral_fleet::limits;
@@ -165,7 +166,7 @@
         let mut rng = StdRng::seed_from_u64(entries as u64);
         let callers = (entries as f64 * CALLERS_PER_ENTRY) as usize;
         let callers = (0..callers).map(|_| rng.random_range(0..entries));
-        let worker = |index: usize| FakeWorker::new(format!("w{index}"), capacity(index), 1.0);
+        let worker = |index: usize| FakeWorker::new(worker_id(index), capacity(index), 1.0);
         let mut fleet = LargeFleet {
             now_us: 1_000_000,
             limits: limits(),
@@ -331,7 +332,7 @@
 
 fn record(index: usize) -> GateRecord {
     let traits = WorkerTraits {
-        id: format!("w{index}"),
+        id: worker_id(index),
         service: "s".into(),
         capacity: capacity(index),
         largest: Resources::default(),
@@ -350,3 +351,7 @@
         }),
     }
 }
+
+fn worker_id(index: usize) -> WorkerId {
+    format!("w{index}").as_str().into()
+}
