Tell lives of a worker apart by name and birth

Cause: a worker that starts again under its id was taken for the same life: its reports were dropped as old, its ends as acknowledged, its fencing token stood above or below what the gate used, and orders meant for the life before could run in the next one. Ruled out: to believe a later birth at once (a report that was held up, or a wall clock put back, would give room back that the present life uses): the worker's own lists decide. To end what was ordered with its life: an order names the worker only, and may come to the next life. To trust the fencing token of the worker's clock: that starts anew. Change: lists tell which life answers. The runs of the life before are kept until the next one has seen a higher token and listed what runs: what is on the list goes on, the rest is barred first. Tokens rise by birth and clock, and are raised in steps that double where one is turned away again. A lease meant for the life before may hold on the next one, so nothing begins there until it is over for certain. Reports without a birth name nobody where workers tell theirs; a departure without one makes the gate ask. What is left: an order without an answer that comes to the next life before the gate's first question there, after the gate was told that nothing listens, runs for some milliseconds until it is stopped.

--- a/src/ephemeral/dispatcher/losses.rs
+++ b/src/ephemeral/dispatcher/losses.rs
@@ -64,7 +64,10 @@
         let Some(left) = self.left_behind.remove(name) else {
             return;
         };
-        let lost = left.losses.into_iter().filter(|loss| loss.worker != *worker);
+        let lost = left
+            .losses
+            .into_iter()
+            .filter(|loss| loss.worker != *worker);
         let losses: Vec<WorkerLoss> = lost.collect();
         if losses.is_empty() {
             return;
--- a/src/ephemeral/gate/life.rs
+++ b/src/ephemeral/gate/life.rs
@@ -5,6 +5,7 @@
 
 use crate::ephemeral::limits::SLOW_CLOCK;
 use crate::ephemeral::message::WorkerTraits;
+use crate::ephemeral::worker::HoldReply;
 use crate::ephemeral::worker_id::WorkerId;
 use crate::time::{Moment, micros};
 
@@ -12,6 +13,18 @@
 /// rounding of the worker's clock to milliseconds.
 const LEASE_MARGIN: Duration = Duration::from_millis(20);
 
+/// Added to a fencing token after the worker turned a second one away, and doubled with
+/// each further one. It has seen a higher one than its clock reads: under a late order to
+/// the life before, or of a gate for which its clock was ahead.
+const FENCE_STEP: u64 = 1_000;
+/// Most times that it doubles: to two years in milliseconds.
+const MOST_FENCE_DOUBLINGS: u32 = 26;
+
+/// When a lease that was given at `given_us` is over for certain, in monotonic microseconds.
+pub(super) fn lease_end_us(given_us: u64, lease: Duration) -> u64 {
+    given_us + micros(lease.mul_f64(SLOW_CLOCK) + LEASE_MARGIN)
+}
+
 /// A life of the worker.
 #[derive(Debug)]
 pub(super) struct Life {
@@ -23,15 +36,19 @@
     pub leaving: bool,
     /// Number of the newest end that was received.
     pub acked_end: u64,
-    /// Fencing token of this gate: the worker's clock when the gate first heard it.
-    /// It rises from one life of the gate to the next without the store, so that
-    /// orders of an earlier gate that arrive late are ignored.
+    /// Fencing token of this gate: the time by the worker's clock and its birth when the
+    /// gate first heard it. It rises from one life of the gate to the next, and of the
+    /// worker, without the store, so that earlier orders that arrive late are ignored.
     pub fence: Option<u64>,
+    /// Times that the worker turned a token away, as it had seen a higher one.
+    fenced: u32,
     /// Whether its runs were listed under the fencing token.
     pub listed: bool,
     clock_ms: f64,
     clock_at_us: u64,
     lease_sent_us: u64,
+    /// Until when a lease may hold that was meant for the life before.
+    foreign_lease_us: u64,
 }
 
 impl Life {
@@ -42,14 +59,43 @@
             leaving: false,
             acked_end: 0,
             fence: None,
+            fenced: 0,
             listed: false,
             clock_ms: 0.0,
             clock_at_us: now.mono_us,
             // An earlier process may have renewed the lease until now.
             lease_sent_us: now.mono_us,
+            foreign_lease_us: 0,
         }
     }
 
+    /// The same after a life that it may have taken a lease of.
+    pub fn after(traits: WorkerTraits, now: Moment, foreign_lease_us: u64) -> Life {
+        Life {
+            foreign_lease_us,
+            ..Life::new(traits, now)
+        }
+    }
+
+    /// Whether it may hold a lease that was meant for the life before.
+    pub fn has_foreign_lease(&self, now: Moment) -> bool {
+        now.mono_us <= self.foreign_lease_us
+    }
+
+    /// Chooses the fencing token, above all `used` ones, by an answer of the worker.
+    pub fn choose_fence(&mut self, reply: &HoldReply, used: u64) -> u64 {
+        let born_ms = self.traits.id.born_ms.unwrap_or(0);
+        let least = (born_ms + reply.clock_ms).max(used) + 1;
+        let fence = match self.fenced {
+            0 => least,
+            fenced => least + (FENCE_STEP << fenced.min(MOST_FENCE_DOUBLINGS)),
+        };
+        self.fenced += u32::from(reply.fenced);
+        self.fence = Some(fence);
+        self.listed = false;
+        fence
+    }
+
     /// Which life it is.
     pub fn id(&self) -> WorkerId {
         self.traits.id.clone()
@@ -81,7 +127,6 @@
 
     /// Whether every lease that was ever given has run out.
     pub fn lease_is_over(&self, now: Moment, lease: Duration) -> bool {
-        let longest = lease.mul_f64(SLOW_CLOCK) + LEASE_MARGIN;
-        now.mono_us > self.lease_sent_us + micros(longest)
+        now.mono_us > lease_end_us(self.lease_sent_us, lease) && !self.has_foreign_lease(now)
     }
 }
--- a/src/ephemeral/gate/losses.rs
+++ b/src/ephemeral/gate/losses.rs
@@ -71,7 +71,8 @@
         };
         let reply = answer.as_ref().map(|answer| answer.reply);
         match reply {
-            Ok(StartReply::Running) => loss.ran = true,
+            // It may be the next life that answers, if the worker started again.
+            Ok(StartReply::Running) => loss.ran = !self.has_restarted(&loss.worker),
             Err(OrderError::Unanswered) => {}
             _ => return,
         }
@@ -83,6 +84,13 @@
         self.publish_losses(vec![lost]);
     }
 
+    /// Whether another life answers, or may answer, under the name of this one.
+    fn has_restarted(&self, worker: &WorkerId) -> bool {
+        let present = self.life.as_ref().map(|life| &life.traits.id);
+        let is_next = |id: &WorkerId| id != worker && id.name == worker.name;
+        self.kept.is_some() || present.is_some_and(is_next)
+    }
+
     fn publish_losses(&mut self, mut lost: Vec<Lost>) {
         if lost.is_empty() {
             return;
@@ -118,7 +126,8 @@
         let owned = out().map(|(run, record)| {
             let age_us = self.age_at_loss_us(now, record);
             // The age of a run that an earlier gate began is not known.
-            let known = record.began() && record.mark.is_some();
+            let by_this_life = record.listed || !self.has_restarted(worker);
+            let known = record.began() && record.mark.is_some() && by_this_life;
             let loss = WorkerLoss {
                 likely: known && is_likely(age_us, record.expected_us, youngest_us),
                 ran: known && self.ran_at_loss(now, record),
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -17,6 +17,7 @@
 mod pace;
 mod progress;
 mod queue;
+mod restart;
 mod sessions;
 mod turns;
 mod worker_life;
@@ -44,6 +45,7 @@
 use losses::Lost;
 use pace::Mark;
 use queue::Place;
+use restart::Kept;
 use sessions::Owner;
 use worker_life::Successor;
 
@@ -133,6 +135,8 @@
     /// When its order was first sent.
     ordered_us: u64,
     state: RunState,
+    /// Whether the worker was seen to run it.
+    listed: bool,
     /// How far it was at the last look.
     mark: Option<Mark>,
 }
@@ -180,6 +184,13 @@
     successor: Option<Successor>,
     /// Lives that are known to be over.
     past_lives: VecDeque<WorkerId>,
+    /// Whether workers tell their births here: who does not is none of them.
+    births_told: bool,
+    /// Highest fencing token that was used.
+    fence_used: u64,
+    /// Runs of a worker that has started again under its name, kept until the next life's
+    /// lists tell what became of their orders.
+    kept: Option<Kept>,
     /// Losses of its workers, newest last.
     losses: VecDeque<WorkerLoss>,
     /// What was on the present life when its lease ran out, unless it was heard since.
@@ -227,6 +238,9 @@
             life: None,
             successor: None,
             past_lives: VecDeque::new(),
+            births_told: false,
+            fence_used: 0,
+            kept: None,
             losses: VecDeque::new(),
             in_doubt: Vec::new(),
             open_starts: HashMap::new(),
@@ -287,6 +301,7 @@
         match &self.life {
             None => Some(NotRunReason::NoWorker),
             Some(life) if life.leaving => Some(NotRunReason::Leaving),
+            Some(life) if life.has_foreign_lease(now) => Some(NotRunReason::NoWorker),
             Some(_) if self.is_mute(now) => Some(NotRunReason::NoWorker),
             Some(_) => None,
         }
@@ -384,6 +399,7 @@
         self.drop_unclaimed(now);
         self.stop_again(now);
         self.end_lapsed(now);
+        self.end_kept(now);
         self.give_up_mute_life(now);
         self.forget_past(now);
         self.health.forget_old(now);
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -4,6 +4,7 @@
 
 use slog::{debug, info, warn};
 
+use super::restart::AnsweringLife;
 use super::worker_life::LifeEnd;
 use super::{Gate, GateAction, RunState, StopCause};
 use crate::ephemeral::job::RunId;
@@ -224,12 +225,21 @@
         if current != call.worker {
             return;
         }
+        let by = answer.as_ref().ok().map(|reply| self.answering_life(reply));
+        let answer = match by {
+            Some(AnsweringLife::Unknown) => Err(OrderError::Protocol),
+            _ => answer,
+        };
         self.note_answer(now, answer.is_ok());
         self.hold_misses = match answer.is_ok() {
             true => 0,
             false => self.hold_misses.saturating_add(1),
         };
         match answer {
+            Ok(_) if by == Some(AnsweringLife::Another) => {
+                self.keep_runs(now, call.lease_until_ms.is_some());
+                self.life_is_past(now);
+            }
             Ok(reply) => {
                 self.in_doubt.clear();
                 self.dismiss_successor(sent.mono_us);
@@ -248,9 +258,8 @@
         life.heard_clock(now, reply.clock_ms);
         if reply.fenced || call.fence.is_none() {
             // Lists count only once earlier gates can change them no more.
-            life.fence = Some(reply.clock_ms + 1);
-            life.listed = false;
-            info!(self.log, "fencing token chosen"; "fence" => life.fence);
+            self.fence_used = life.choose_fence(&reply, self.fence_used);
+            info!(self.log, "fencing token chosen"; "fence" => self.fence_used);
             return;
         }
         if call.fence != life.fence {
@@ -273,7 +282,6 @@
     }
 
     fn find_unclaimed(&mut self, now: Moment, running: &[RunningRow]) {
-        let due_us = now.mono_us + micros(self.limits.claim);
         for row in running {
             if let Some(record) = self.runs.get_mut(&row.run) {
                 if matches!(record.state, RunState::Claimed { .. }) {
@@ -281,8 +289,14 @@
                 }
                 continue;
             }
-            info!(self.log, "run of an earlier gate"; "run" => %row.run);
-            self.unclaimed.insert(row.run, due_us);
+            // One that is over by what this gate knows came to a life after its own.
+            let over = self.past.contains_key(&row.run);
+            info!(self.log, "run without owner"; "run" => %row.run, "over" => over);
+            let claim = match over {
+                true => Duration::ZERO,
+                false => self.limits.claim,
+            };
+            self.unclaimed.insert(row.run, now.mono_us + micros(claim));
         }
         self.bar_missing(now);
         self.load_changed = true;
@@ -330,10 +344,13 @@
     /// Takes note of runs whose starts were not answered yet, or in vain.
     fn see_running(&mut self, running: &[RunningRow]) {
         for row in running {
-            let state = self.runs.get_mut(&row.run).map(|record| &mut record.state);
-            match state {
-                Some(RunState::Starting { .. }) => self.began(row.run),
-                Some(RunState::Stopping { began, .. }) => *began = true,
+            let Some(record) = self.runs.get_mut(&row.run) else {
+                continue;
+            };
+            record.listed = true;
+            match &mut record.state {
+                RunState::Starting { .. } => self.began(row.run),
+                RunState::Stopping { began, .. } => *began = true,
                 _ => {}
             }
         }
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -63,6 +63,7 @@
             since_us: now.mono_us,
             ordered_us: now.mono_us,
             state: RunState::Queued { place, until_us },
+            listed: false,
             mark: None,
         };
         self.runs.insert(run, record);
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -209,6 +209,7 @@
             since_us: now.mono_us,
             ordered_us: 0,
             state,
+            listed: false,
             mark: None,
         };
         self.runs.insert(run, record);
--- a/src/ephemeral/gate/worker_life.rs
+++ b/src/ephemeral/gate/worker_life.rs
@@ -1,7 +1,8 @@
 //! Lives of the worker: found, recalled, mute, gone.
 //!
 //! A report of another life may be new or may have been under way since before the
-//! present life began; nothing in it tells. The worker itself does: while the
+//! present life began; nothing in it tells, not even a later birth, as the clock by which
+//! a worker tells its birth may have been put back. The worker itself does: while the
 //! present life answers, the other one is past. So a report of another life waits
 //! as the successor until the present life is known to be over. To follow an old
 //! report would give room back that the present life still uses.
@@ -9,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::{debug, info};
+use slog::{debug, info, warn};
 
 use super::health::Health;
 use super::life::Life;
@@ -66,6 +67,10 @@
 impl Gate {
     /// The worker reports itself.
     pub fn worker_report(&mut self, now: Moment, report: WorkerReport) {
+        if self.lacks_birth(&report.id) {
+            warn!(self.log, "report without a birth"; "worker" => %report.id);
+            return;
+        }
         if !self.is_present(&report.id) && !self.consider_life(now, &report) {
             return;
         }
@@ -161,10 +166,20 @@
             .as_ref()
             .is_some_and(|life| life.lease_is_over(now, lease));
         if over && self.successor.is_some() && self.is_mute(now) {
+            if self.restarts() {
+                self.keep_runs(now, true);
+            }
             self.life_is_over(now, LifeEnd::Mute);
         }
     }
 
+    /// Whether the life that has reported meanwhile has the name of the present one.
+    fn restarts(&self) -> bool {
+        let present = self.life.as_ref().map(|life| &life.traits.id.name);
+        let next = self.successor.as_ref().map(|next| &next.report.id.name);
+        next.is_some() && next == present
+    }
+
     /// No report of this life is believed any more.
     fn bar_life(&mut self, id: &WorkerId) {
         if self.past_lives.len() == MOST_PAST_LIVES {
@@ -199,7 +214,8 @@
         self.hold_failed_us = None;
         self.hold_broke_us = None;
         self.room.resize(worker.traits.capacity);
-        self.life = Some(Life::new(worker.traits.clone(), now));
+        let foreign_lease_us = self.take_foreign_lease();
+        self.life = Some(Life::after(worker.traits.clone(), now, foreign_lease_us));
         self.health = Health::default();
         self.actions.push(GateAction::Aim(worker.clone()));
         self.load_changed = true;
@@ -207,6 +223,11 @@
 
     /// The worker says that it ends.
     pub fn worker_left(&mut self, now: Moment, id: &WorkerId) {
+        if self.lacks_birth(id) {
+            // It may be of the life before: the worker itself tells.
+            self.check_wanted = true;
+            return;
+        }
         self.bar_life(id);
         if self.is_present(id) {
             self.life_is_over(now, LifeEnd::Left);
@@ -229,7 +250,10 @@
         self.refuse_queued(now, NotRunReason::NoWorker);
         let out: Vec<RunId> = self.runs.keys().copied().collect();
         for run in out {
-            self.end(now, run, RunEnd::Stopped);
+            match self.kept {
+                Some(_) => self.hold_over(run),
+                None => self.end(now, run, RunEnd::Stopped),
+            }
         }
         self.follow_successor(now);
     }
--- a/src/ephemeral/limits.rs
+++ b/src/ephemeral/limits.rs
@@ -58,6 +58,8 @@
     pub claim: Duration,
     /// Lease that runs are given on the worker.
     pub lease: Duration,
+    /// Longest lease that a worker grants, whatever it is asked for.
+    pub most_lease: Duration,
     /// Longest time that a worker takes to stop a run.
     pub stop: Duration,
     /// A caller's pause before it sends again.
@@ -80,6 +82,7 @@
             frame_age: silence / 2,
             claim: silence / 2,
             lease: resend.mul_f64(LEASE_SHARE).min(most_lease),
+            most_lease,
             stop,
             resend,
         }
