Bring entries back without reading or rewriting the records of the whole fleet

Cause: after a stop of all processes each gate wrote its record anew, each entry heard of each of them, and each entry read all records, page by page, before it took a job: at 184 entries and 800 gates of some 600 bytes twice 90 MB through the store's link of 125 MB/s (reckoned), the square of the fleet. In an outage of the store each gate called it five times a second, 4,000 calls a second of 800, where 3,200 writes are served. Ruled out: pages as they come (the first is 500 records, 300 kB an entry). Gates in the order of the shard that is read first (entries of one shard would share its gates for good: 1.7 times the mean load on some). Change: records lie under two digits of a hash; an entry reads its 256th and then its sixteenth first, takes work with those gates, and reads the rest afterwards; until then no job is said to fit nowhere. A gate that starts again takes its record over, with its lease, and writes nothing. Renewals each 2.5 s of a lease of 10 s (1.5 s before), so a record that was taken away is back before it counts as missing, after 2.9 s (2 s before); the pause in an outage doubles from 0.2 to 1.6 s; watches of records wait for 5 s (1.5 s).

--- a/src/ephemeral/directory.rs
+++ b/src/ephemeral/directory.rs
@@ -16,10 +16,11 @@
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ephemeral::follower::{Follower, Keys, News, Reachable, WATCH};
+use crate::ephemeral::follower::{Follower, Keys, News, Reachable};
 use crate::ephemeral::losses::WorkerLoss;
-use crate::ephemeral::message::{ProcessId, WorkerTraits};
+use crate::ephemeral::message::WorkerTraits;
 use crate::store::{
     Expect, LeaseId, Store, StoreChange, StoreEntry, StoreError, StoreReply, StoreRequest,
 };
@@ -32,21 +33,33 @@
 const RECORD_LEASE: Duration = Duration::from_secs(10);
 /// How long a gate without a record is still dialed: after an outage of the store a
 /// record that lapsed is back within it.
-pub(super) const MISSING: Duration = Duration::from_secs(2);
-/// Pause between two renewals; a record that lapsed is back within it.
-const RENEWAL: Duration = Duration::from_millis(1_500);
+pub(super) const MISSING: Duration = Duration::from_millis(2_900);
+/// Pause between two renewals; a record that lapsed is back within it, and two renewals may
+/// be lost.
+const RENEWAL: Duration = Duration::from_millis(2_500);
 /// Renewals after which the record is read all the same: every 15 s, as entries read
 /// all records every 20 s. Read with each renewal it was half of the calls of 240 gates.
-const RENEWALS_UNREAD: u32 = 10;
-/// Pause after a record could not be kept; eleven gates then make less than
-/// sixty calls a second in an outage.
+const RENEWALS_UNREAD: u32 = 6;
+/// Pause after a record could not be kept; doubled with each further time, as all gates of
+/// a fleet call on and on in an outage.
 const PAUSE: Duration = Duration::from_millis(200);
+/// Longest such pause: a record that lapsed in an outage is back before it counts as missing.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
+/// Longest wait of a watch of records: if a store that fell silent leaves it without an
+/// answer, what is new is heard of so much later.
+const RECORDS_WATCH: Duration = Duration::from_secs(5);
+
+/// Records with which an entry can take work before it has read all: as many gates as it
+/// has sessions with at least.
+const ENOUGH_FIRST: usize = 16;
+/// Longest wait for them: a store that is slow or away is asked for everything instead.
+const FIRST_READ: Duration = Duration::from_millis(200);
 
 /// Record of a gate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GateRecord {
-    /// The gate.
-    pub gate: ProcessId,
+    /// Name of the gate; its lives keep one record.
+    pub gate: Arc<str>,
     /// Where entries reach it.
     pub addr: SocketAddr,
     /// Its worker: a gate that starts anew need not wait for the next heartbeat.
@@ -78,16 +91,29 @@
 
 impl GateRecord {
     fn key(&self) -> String {
-        format!("{GATE_PREFIX}{}", self.gate.name)
+        gate_key(&self.gate)
     }
 }
 
+/// Key of the record of the gate `name`: records lie under two digits of a hash, so that a
+/// part of them can be read by itself.
+pub fn gate_key(name: &str) -> String {
+    format!("{GATE_PREFIX}{:02x}/{name}", shard(name))
+}
+
+fn shard(name: &str) -> u8 {
+    xxh3_64(name.as_bytes()) as u8
+}
+
 /// Keeps the record of a gate in the store, as it is published, for as long as it is
-/// polled.
+/// polled. A record from `before` a restart is taken over with its lease: nothing is written
+/// then, and no entry has to hear of it. Where a whole fleet starts anew, each entry would
+/// else hear of each gate.
 pub async fn publish(
     store: Arc<dyn Store>,
     timer: Timer,
     mut record: GateRecord,
+    before: Option<StoreEntry>,
     mut published: watch::Receiver<Published>,
     log: Logger,
 ) {
@@ -95,25 +121,37 @@
     let mut publisher = Publisher {
         store: &*store,
         log: &log,
-        lease: None,
-        written: None,
+        lease: before.as_ref().and_then(|before| before.lease),
+        written: before.map(|before| before.value),
         renewals: 0,
     };
+    let mut outage_pause = PAUSE;
     loop {
         let newest = published.borrow_and_update().clone();
         record.worker = newest.worker;
         record.losses = newest.losses;
         let kept = publisher.keep(&record).await;
         reachable.note(&kept);
-        let pause = if kept.is_ok() { RENEWAL } else { PAUSE };
+        let pause = match kept {
+            Ok(()) => RENEWAL,
+            Err(_) => outage_pause,
+        };
+        outage_pause = match kept {
+            Ok(()) => PAUSE,
+            Err(_) => LONGEST_PAUSE.min(outage_pause * 2),
+        };
         // A change does not wait for the next renewal.
         let _ = timer.within(pause, published.changed()).await;
     }
 }
 
-/// What the record of the gate `name` holds, from before a restart.
-pub async fn recall(store: &dyn Store, name: &str, log: &Logger) -> Option<Published> {
-    let key = format!("{GATE_PREFIX}{name}");
+/// What the record of the gate `name` holds, from before a restart, and the record itself.
+pub async fn recall(
+    store: &dyn Store,
+    name: &str,
+    log: &Logger,
+) -> Option<(Published, StoreEntry)> {
+    let key = gate_key(name);
     let entry = read(store, &key).await.inspect_err(|err| {
         warn!(log, "record not recalled"; "key" => &key, "error" => %err);
     });
@@ -122,10 +160,11 @@
         warn!(log, "record not recalled"; "key" => &key, "error" => %why);
     });
     let record = record.ok()?;
-    Some(Published {
+    let published = Published {
         worker: record.worker,
         losses: record.losses,
-    })
+    };
+    Some((published, entry))
 }
 
 /// Keeps one record under a lease.
@@ -263,6 +302,8 @@
     pub written: Vec<GateRecord>,
     /// Gates that have no record any more.
     pub removed: Vec<Arc<str>>,
+    /// Whether there may be others that were not read yet.
+    pub partial: bool,
 }
 
 impl From<Vec<GateRecord>> for GateChanges {
@@ -270,7 +311,7 @@
     fn from(written: Vec<GateRecord>) -> GateChanges {
         GateChanges {
             written,
-            removed: Vec::new(),
+            ..GateChanges::default()
         }
     }
 }
@@ -330,7 +371,7 @@
         }
         let gate = match parse(entry) {
             Ok(record) => {
-                let gate = record.gate.name.clone();
+                let gate = record.gate.clone();
                 found.written.push(record);
                 Some(gate)
             }
@@ -353,18 +394,64 @@
     }
 }
 
-/// Follows the records of gates.
-pub async fn follow_gates(follower: Follower, changes: UnboundedSender<GateChanges>) {
+/// Prefixes under which the entry `name` looks first: a 256th of all records, then a
+/// sixteenth.
+fn first_prefixes(name: &str) -> [String; 2] {
+    let shard = shard(name);
+    let leaf = format!("{GATE_PREFIX}{shard:02x}/");
+    let branch = format!("{GATE_PREFIX}{:x}", shard >> 4);
+    [leaf, branch]
+}
+
+/// Reads enough records to take work, so that an entry that starts need not wait for all
+/// of them: where a whole fleet starts anew, what all entries read is its square.
+async fn read_first(follower: &Follower, name: &str, reader: &mut Reader) -> GateChanges {
+    let mut first = GateChanges {
+        partial: true,
+        ..GateChanges::default()
+    };
+    for prefix in first_prefixes(name) {
+        let read = follower.store.call(StoreRequest::Get { prefix });
+        let reply = follower.timer.within(FIRST_READ, read).await;
+        let Some(Ok(StoreReply::Entries { entries, .. })) = reply else {
+            break;
+        };
+        let all = entries.iter();
+        all.for_each(|entry| reader.written(entry, &mut first));
+        if first.written.len() >= ENOUGH_FIRST {
+            break;
+        }
+    }
+    info!(follower.log, "first gates read"; "gates" => first.written.len());
+    first
+}
+
+/// Follows the records of gates for the entry `name`: a part of them first.
+pub async fn follow_gates(
+    follower: Follower,
+    name: Arc<str>,
+    changes: UnboundedSender<GateChanges>,
+) {
     let mut reader = Reader::new(follower.log.clone());
-    let tell = |news: News<'_>| match reader.read(news) {
-        found if found.is_empty() => !changes.is_closed(),
-        found => changes.send(found).is_ok(),
+    let first = read_first(&follower, &name, &mut reader).await;
+    if !first.is_empty() && changes.send(first).is_err() {
+        return;
+    }
+    let mut all_told = false;
+    let tell = |news: News<'_>| {
+        let found = reader.read(news);
+        // That there are no others is news as well.
+        let nothing_new = std::mem::replace(&mut all_told, true) && found.is_empty();
+        match nothing_new {
+            true => !changes.is_closed(),
+            false => changes.send(found).is_ok(),
+        }
     };
     let keys = Keys {
         prefix: GATE_PREFIX,
         what: "gates",
         leased: true,
-        wait: WATCH,
+        wait: RECORDS_WATCH,
     };
     follower.follow_changes(&keys, tell).await;
 }
--- a/src/ephemeral/entry/dials.rs
+++ b/src/ephemeral/entry/dials.rs
@@ -87,7 +87,7 @@
             }
         }
         for record in changes.written {
-            let dial = self.gates.entry(record.gate.name);
+            let dial = self.gates.entry(record.gate);
             let dial = dial.or_insert_with(|| Dial::new(record.addr));
             dial.missing_us = None;
             if dial.addr != record.addr {
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -155,7 +155,8 @@
             log: parts.log.clone(),
         };
         let (changes_tx, mut changes) = unbounded_channel();
-        tokio::spawn(directory::follow_gates(follower.clone(), changes_tx));
+        let name = parts.me.name.clone();
+        tokio::spawn(directory::follow_gates(follower.clone(), name, changes_tx));
         let tx = self.tx.clone();
         tokio::spawn(async move {
             while let Some(found) = changes.recv().await {
--- a/src/ephemeral/subset.rs
+++ b/src/ephemeral/subset.rs
@@ -129,6 +129,8 @@
     candidates: BTreeMap<u64, Candidate>,
     /// Gates that cannot be reached or take no work now.
     away: HashSet<Arc<str>>,
+    /// Whether there may be gates that are not known yet.
+    partial: bool,
     demands: HashMap<JobKind, Demand>,
     wanted: HashSet<Arc<str>>,
     changed: bool,
@@ -142,6 +144,7 @@
             me,
             candidates: BTreeMap::new(),
             away: HashSet::new(),
+            partial: false,
             demands: HashMap::new(),
             wanted: HashSet::new(),
             changed: false,
@@ -155,6 +158,7 @@
 
     /// Records of gates have changed.
     pub fn know(&mut self, now: Moment, changes: &GateChanges) {
+        self.partial = changes.partial;
         for gate in &changes.removed {
             let place = self.place(gate);
             if let Some(candidate) = self.candidates.get_mut(&place) {
@@ -162,9 +166,9 @@
             }
         }
         for record in &changes.written {
-            let place = self.place(&record.gate.name);
+            let place = self.place(&record.gate);
             let candidate = Candidate {
-                name: record.gate.name.clone(),
+                name: record.gate.clone(),
                 worker: record.worker.as_ref().map(|worker| worker.traits.clone()),
                 missing_us: None,
             };
@@ -283,7 +287,8 @@
         if workers().flatten().any(|worker| want.could_fit(worker)) {
             return Prospect::HasShrunk;
         }
-        match workers().all(|worker| worker.is_some()) {
+        let all_told = workers().all(|worker| worker.is_some());
+        match all_told && !self.partial {
             true => Prospect::Never,
             false => Prospect::Unknown,
         }
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -234,6 +234,7 @@
             key: key.to_string(),
             value: self.value.clone(),
             revision: self.revision,
+            lease: self.lease,
         }
     }
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -94,6 +94,8 @@
     pub value: Bytes,
     /// Revision at which it was written.
     pub revision: u64,
+    /// Lease with which it vanishes.
+    pub lease: Option<LeaseId>,
 }
 
 /// What became of one key.
--- a/tests/ephemeral_entry.rs
+++ b/tests/ephemeral_entry.rs
@@ -45,6 +45,7 @@
                 key: "config".to_string(),
                 value: "7".into(),
                 revision: 1,
+                lease: None,
             };
             Ok(StoreReply::Entries {
                 revision: 1,
--- a/tests/ephemeral_evacuation.rs
+++ b/tests/ephemeral_evacuation.rs
@@ -135,6 +135,7 @@
         key: format!("e/{domain}"),
         value: "not even JSON".into(),
         revision: 1,
+        lease: None,
     }
 }
 
--- a/tests/ephemeral_fleet/crashes.rs
+++ b/tests/ephemeral_fleet/crashes.rs
@@ -106,9 +106,12 @@
         self.crashes.back_us.insert(index, self.now_us + down_us);
     }
 
-    /// A worker goes down for a while and starts again under its name.
+    /// A worker goes down for a while and starts again under its name. What waits in it, or
+    /// comes while nothing listens, is gone; one that starts again at once gets what is on
+    /// its way.
     pub fn take_down_and_restart(&mut self, index: usize, down: Down, down_us: u64) {
         self.restart_worker(index, 0);
+        self.late.retain(|(_, order)| order.worker() != index);
         let worker = &mut self.workers[index];
         worker.up = false;
         worker.refuses = down == Down::Refuses;
--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -132,6 +132,15 @@
     Stop(usize, StopCall),
 }
 
+impl Late {
+    /// Number of the worker that it goes to.
+    fn worker(&self) -> usize {
+        match self {
+            Late::Start(index, _) | Late::Stop(index, _) => *index,
+        }
+    }
+}
+
 /// What a caller knows of its job.
 #[derive(Clone, Debug)]
 struct Caller {
--- a/tests/ephemeral_follower.rs
+++ b/tests/ephemeral_follower.rs
@@ -42,6 +42,7 @@
             key: "k".to_string(),
             value: "v".into(),
             revision: 1,
+            lease: None,
         }
     }
 }
