Take an answer by a clock that started anew for that of the next life

The gate counts the lease that it gave; on the next life's clock its end lies further off. Ruled out, by the trace: the gate's first question comes too late (worker silent by then). Change: an answer to a start whose clock reads less than the meant life's has reached makes the gate ask at once; the run is kept for the next life. Conclusion: what is left needs a lease that the next life cannot take; listed.

--- a/src/ephemeral/gate/life.rs
+++ b/src/ephemeral/gate/life.rs
@@ -25,6 +25,9 @@
     given_us + micros(lease.mul_f64(SLOW_CLOCK) + LEASE_MARGIN)
 }
 
+/// Age that no answer to a start reaches, whose limit is far shorter.
+const OLDEST_ANSWER: Duration = Duration::from_secs(2);
+
 /// A life of the worker.
 #[derive(Debug)]
 pub(super) struct Life {
@@ -108,6 +111,11 @@
         self.clock_at_us = now.mono_us;
     }
 
+    /// Whether a clock that reads `clock_ms` is not that of this life.
+    pub fn is_past(&self, now: Moment, clock_ms: u64) -> bool {
+        (clock_ms as f64) + OLDEST_ANSWER.as_millis() as f64 <= self.clock(now)
+    }
+
     /// A time that the worker's clock has reached for certain, in milliseconds.
     fn clock(&self, now: Moment) -> f64 {
         let elapsed_us = now.mono_us.saturating_sub(self.clock_at_us);
--- a/src/ephemeral/gate/progress.rs
+++ b/src/ephemeral/gate/progress.rs
@@ -51,11 +51,7 @@
             debug!(self.log, "answer for a past life"; "run" => %run, "worker" => %worker);
             return;
         }
-        if let Ok(answer) = &answer
-            && let (Some(life), Some(clock_ms)) = (&mut self.life, answer.clock_ms)
-        {
-            life.heard_clock(now, clock_ms);
-        }
+        let answer = answer.map(|answer| self.hear_clock(now, answer));
         self.note_answer(now, answer.is_ok());
         let state = self.runs.get(&run).map(|record| record.state);
         let starting = matches!(state, Some(RunState::Starting { .. }));
@@ -100,6 +96,23 @@
         }
     }
 
+    /// Takes in the clock of an answer to a start. One that reads less than the present life
+    /// has reached is that of the next one, which has started again under the same name.
+    fn hear_clock(&mut self, now: Moment, answer: StartAnswer) -> StartAnswer {
+        let (Some(life), Some(clock_ms)) = (&mut self.life, answer.clock_ms) else {
+            return answer;
+        };
+        if life.is_past(now, clock_ms) {
+            info!(self.log, "worker's clock started anew"; "clock_ms" => clock_ms);
+            return StartAnswer {
+                reply: StartReply::OtherLife,
+                ..answer
+            };
+        }
+        life.heard_clock(now, clock_ms);
+        answer
+    }
+
     fn began(&mut self, run: RunId) {
         let Some(record) = self.runs.get_mut(&run) else {
             return;
--- a/tests/ephemeral_restarts.rs
+++ b/tests/ephemeral_restarts.rs
@@ -8,7 +8,8 @@
 use winghold::ephemeral::job::RunId;
 use winghold::ephemeral::message::RunEnd;
 use winghold::ephemeral::worker::{
-    EndedRow, HoldCall, HoldReply, OrderError, RunningRow, StartReply, WorkerEnd, WorkerReport,
+    EndedRow, HoldCall, HoldReply, OrderError, RunningRow, StartAnswer, StartReply, WorkerEnd,
+    WorkerReport,
 };
 use winghold::ephemeral::worker_id::WorkerId;
 
@@ -398,3 +399,28 @@
     restarts.bench.order(run(3), 100, 0);
     assert_eq!(restarts.bench.ordered(), [run(3)]);
 }
+
+/// It may take the order, and a lease by it, long before its first report or list.
+#[test]
+fn an_answer_by_a_clock_that_started_anew_is_not_that_of_the_life_that_was_meant() {
+    let mut restarts = Restarts::ready();
+    restarts.bench.order(run(1), 600, 100);
+    restarts.restart(LATER_MS);
+    restarts.running.push(run(1));
+    let answer = StartAnswer {
+        reply: StartReply::Running,
+        clock_ms: Some(1_000),
+    };
+    let now = restarts.bench.now;
+    let gate = &mut restarts.bench.gate;
+    gate.start_answered(now, &born(BORN_MS), run(1), Ok(answer));
+    restarts.bench.collect();
+    let asked = restarts.bench.actions.iter().any(|action| match action {
+        GateAction::Hold(call) => call.check,
+        _ => false,
+    });
+    assert!(asked, "the worker is asked at once");
+    restarts.report(born(LATER_MS), 1);
+    restarts.pass(100);
+    assert_eq!(restarts.bench.ends(), [], "it runs on the next life");
+}
--- a/tests/ephemeral_safety.rs
+++ b/tests/ephemeral_safety.rs
@@ -231,20 +231,26 @@
     }
 }
 
+/// Plays one case with workers that start again under the names they had.
+fn play_lives(seed: u64) -> Fleet {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let bytes: Vec<u8> = (0..4_096).map(|_| rng.random()).collect();
+    let mut driver = ByteSliceDriver::new(&bytes, &Options::default());
+    let mut fleet = Fleet::with_births(seed, limits());
+    for _ in 0..LENGTH {
+        if let Some(change) = Lives::generate(&mut driver) {
+            apply_to_lives(&mut fleet, change);
+        }
+    }
+    fleet
+}
+
 /// The same failures while workers start again under the names they had.
 #[test]
 fn promises_hold_while_workers_start_again_under_their_names() {
     let mut starts = 0;
     for seed in 0..cases() {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let bytes: Vec<u8> = (0..4_096).map(|_| rng.random()).collect();
-        let mut driver = ByteSliceDriver::new(&bytes, &Options::default());
-        let mut fleet = Fleet::with_births(seed, limits());
-        for _ in 0..LENGTH {
-            if let Some(change) = Lives::generate(&mut driver) {
-                apply_to_lives(&mut fleet, change);
-            }
-        }
+        let mut fleet = play_lives(seed);
         settle(&mut fleet);
         assert_eq!(fleet.violations, Vec::<String>::new(), "seed {seed}");
         assert_eq!(fleet.unanswered_without_losses(), 0, "seed {seed}");
@@ -254,6 +260,15 @@
     assert!(starts > 500, "{starts} starts");
 }
 
+/// Seen: a worker starts again at once and takes orders for the life before, with a lease by
+/// that one's clock; every answer is lost, and it falls silent before its gate hears of it.
+/// The gate counts the lease that it gave, the worker one that lasts longer.
+#[test]
+fn a_worker_that_starts_again_unseen_and_falls_silent_runs_nothing_twice() {
+    let fleet = play_lives(1_782);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
 /// Cases among which one must break a promise once a guard is out; the rarest
 /// took 2,621.
 const BREAKING_CASES: u64 = 10_000;
