--- a/src/ephemeral/directory/follow.rs
+++ b/src/ephemeral/directory/follow.rs
@@ -24,8 +24,8 @@
 /// Most of them that an entry reads first, and how many at a time.
 const MOST_FIRST_SHARDS: usize = 16;
 const SHARDS_AT_ONCE: usize = 4;
-/// Pause for each gate before the rest is read: two hundred entries read 55 MB a second
-/// then, whatever the number of gates, of the 125 that a store on 1,000 Mbit/s sends.
+/// Pause for each gate before the rest is read: what entries that start together read in a
+/// second stays a part of what the store's link carries, whatever the number of gates.
 const REST_PAUSE_A_GATE: Duration = Duration::from_millis(2);
 /// Longest such pause: until then an entry sends its jobs to the first gates only.
 const MOST_REST_PAUSE: Duration = Duration::from_secs(5);
--- a/src/ephemeral/directory/publish.rs
+++ b/src/ephemeral/directory/publish.rs
@@ -19,7 +19,7 @@
 /// be lost.
 const RENEWAL: Duration = Duration::from_millis(2_500);
 /// Renewals after which the record is read all the same: every 15 s, as entries read
-/// all records every 20 s. Read with each renewal it was half of the calls of 240 gates.
+/// all records every 20 s.
 const RENEWALS_UNREAD: u32 = 6;
 /// Pause after a record could not be kept; doubled with each further time, as all gates of
 /// a fleet call on and on in an outage.
