--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -11,7 +11,7 @@
 use super::job::Job;
 use super::{COME_BACK_MS, DispatchAction, Dispatcher, WaiterId, failed, refused};
 use crate::code::ResultCode;
-use crate::ephemeral::job::{JobId, JobSpec, Urgency};
+use crate::ephemeral::job::{JobId, JobSpec, Priority};
 use crate::ephemeral::placement::{GateView, Want};
 use crate::ephemeral::routes::Route;
 use crate::ephemeral::subset::Prospect;
@@ -117,10 +117,10 @@
     fn admit_share(&self, job: &Job) -> f64 {
         let level = self.congestion.level();
         let between = |free: f64, congested: f64| free + (congested - free) * level;
-        match job.route.urgency() {
+        match job.route.priority(&self.scheduling) {
             _ if job.sent_before => between(ADMIT_SHARE, 0.0),
-            Urgency::Urgent => URGENT_ADMIT_SHARE,
-            Urgency::Normal => between(ADMIT_SHARE, CONGESTED_ADMIT_SHARE),
+            Priority::URGENT => URGENT_ADMIT_SHARE,
+            _ => between(ADMIT_SHARE, CONGESTED_ADMIT_SHARE),
         }
     }
 
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -29,6 +29,7 @@
 use crate::ephemeral::losses::{LeftBehind, LossLog};
 use crate::ephemeral::message::{ConfigDocument, ProcessId, StartOrder, ToGate};
 use crate::ephemeral::placement::{Choice, GateView, Placer, Want};
+use crate::ephemeral::scheduling::Scheduling;
 use crate::ephemeral::session::SessionId;
 use crate::ephemeral::subset::Subset;
 use crate::message::Answer;
@@ -134,6 +135,7 @@
     run_times: RunTimes,
     typical_run: TypicalRun,
     configs: Configs,
+    scheduling: Scheduling,
     actions: Vec<DispatchAction>,
     dirty: bool,
 }
@@ -165,11 +167,17 @@
             run_times: RunTimes::default(),
             typical_run: TypicalRun::default(),
             configs: Configs::default(),
+            scheduling: Scheduling::default(),
             actions: Vec::new(),
             dirty: false,
         }
     }
 
+    /// The configuration in force asks for this.
+    pub fn schedule(&mut self, scheduling: Scheduling) {
+        self.scheduling = scheduling;
+    }
+
     /// What is to be done since the last call.
     pub fn take_actions(&mut self, now: Moment) -> Vec<DispatchAction> {
         if self.dirty {
@@ -269,7 +277,8 @@
             payload: job.spec.payload.clone(),
             needs: job.spec.needs,
             patience_us: wait_at_gate_us(&choice, bounces).min(patience_us),
-            urgency: job.route.urgency(),
+            priority: job.route.priority(&self.scheduling),
+            leaves_headroom: self.scheduling.headroom,
             due_us: job.latest_begin_us().saturating_sub(now.mono_us),
             expected_us: job.expected_us,
             movable,
@@ -318,7 +327,7 @@
             service: &job.route.service,
             needs: &job.spec.needs,
             constraints: &job.spec.constraints,
-            urgency: job.route.urgency(),
+            priority: job.route.priority(&self.scheduling),
             expected_us: job.expected_us,
             left_us: job.deadline_us.saturating_sub(now.mono_us),
             objective_us: job.objective_left_us(now.mono_us),
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -285,6 +285,7 @@
                 self.parts
                     .metrics
                     .gauge("config_bytes", document.text.len() as u64);
+                self.dispatcher.schedule(table.scheduling);
                 self.table.send_replace(Arc::new(table));
                 self.dispatcher.config_in_force(document);
             }
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -30,7 +30,7 @@
 
 use crate::ephemeral::answer_times::AnswerTimes;
 use crate::ephemeral::directory::WorkerRecord;
-use crate::ephemeral::job::{Resources, RunId, Urgency};
+use crate::ephemeral::job::{Resources, RunId};
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::losses::WorkerLoss;
 use crate::ephemeral::message::{GateLoad, NotRunReason, ProcessId, RunEnd, ToEntry};
@@ -434,8 +434,7 @@
                 true => self.room.free(),
                 false => Resources::default(),
             },
-            urgent_queue: self.queue_ahead(now, Urgency::Urgent),
-            queue: self.queue_ahead(now, Urgency::Normal),
+            queues: self.queues(now),
             mean_run_us: self.health.mean_run_us(),
             slowness_percent: self.health.slowness_percent(),
             suspect: self.health.suspect(),
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -4,7 +4,7 @@
 
 use super::life::Life;
 use super::{Gate, GateAction, Mark, PastRun, Run, RunState};
-use crate::ephemeral::job::{RunId, Urgency};
+use crate::ephemeral::job::{Priority, RunId};
 use crate::ephemeral::message::{NotRunReason, ProcessId, QueueLoad, RunEnd, StartOrder, ToEntry};
 use crate::ephemeral::worker::StartCall;
 use crate::time::Moment;
@@ -12,10 +12,10 @@
 /// Part of its time so far that an overdue run is expected to take on.
 const OVERDUE_SHARE: u64 = 4;
 
-/// A run's place in the queue: urgent ones first, then by the latest begin.
+/// A run's place in the queue: by priority, then by the latest begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Place {
-    pub urgency: Urgency,
+    pub priority: Priority,
     /// When it should begin, in monotonic microseconds.
     pub due_us: u64,
     pub run: RunId,
@@ -44,7 +44,7 @@
             return;
         }
         let place = Place {
-            urgency: order.urgency,
+            priority: order.priority,
             due_us: now.mono_us + order.due_us,
             run,
         };
@@ -104,22 +104,22 @@
     }
 
     /// Begins what fits, in the order of the queue. Less urgent runs do not take
-    /// the room that an urgent one waits for: it would never become large enough.
+    /// the room that a more urgent one waits for: it would never become large enough.
     pub(super) fn fill(&mut self, now: Moment) {
         let open = self.closed(now).is_none() && self.unclaimed.is_empty();
         if !open || !self.life.as_ref().is_some_and(Life::ready) {
             return;
         }
         let waiting: Vec<Place> = self.queue.iter().copied().collect();
-        let mut urgent_waits = false;
+        let mut waits: Option<Priority> = None;
         for place in waiting {
-            if urgent_waits && place.urgency > Urgency::Urgent {
+            if waits.is_some_and(|waits| place.priority > waits) {
                 break;
             }
             let busy = self.health.suspect() && self.runs.values().any(Run::is_out);
             let needs = self.runs[&place.run].needs;
             if busy || !self.room.take(place.run, needs) {
-                urgent_waits |= place.urgency == Urgency::Urgent;
+                waits.get_or_insert(place.priority);
                 continue;
             }
             self.queue.remove(&place);
@@ -179,12 +179,24 @@
         }
     }
 
-    /// What waits ahead of a new run of this urgency.
-    pub(super) fn queue_ahead(&self, now: Moment, urgency: Urgency) -> QueueLoad {
-        let ahead = self.queue.iter().filter(|place| place.urgency <= urgency);
+    /// What waits ahead of a new run, for each priority at which that changes.
+    pub(super) fn queues(&self, now: Moment) -> Vec<QueueLoad> {
+        let waiting = self.queue.iter().map(|place| place.priority);
+        let mut priorities: Vec<Priority> =
+            std::iter::once(Priority::URGENT).chain(waiting).collect();
+        priorities.dedup();
+        let queues = priorities.into_iter();
+        queues
+            .map(|priority| self.queue_ahead(now, priority))
+            .collect()
+    }
+
+    fn queue_ahead(&self, now: Moment, priority: Priority) -> QueueLoad {
+        let ahead = self.queue.iter().filter(|place| place.priority <= priority);
         let needs = ahead.map(|place| self.runs[&place.run].needs.cpu_milli);
         let cpu_milli = needs.sum();
         QueueLoad {
+            priority,
             cpu_milli,
             wait_us: self.wait_us(now, cpu_milli),
         }
--- a/src/ephemeral/job.rs
+++ b/src/ephemeral/job.rs
@@ -101,13 +101,17 @@
     }
 }
 
-/// Who is served first where room is short.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Urgency {
+/// Who is served first where room is short: lower numbers go before higher ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Priority(pub u8);
+
+impl Priority {
     /// Before all others.
-    Urgent,
-    /// In the order of the latest begin.
-    Normal,
+    pub const URGENT: Priority = Priority(0);
+    /// All others, where priorities are not told apart any further.
+    pub const NORMAL: Priority = Priority(1);
+    /// Only with room that nobody else wants.
+    pub const SPARE_ROOM: Priority = Priority(u8::MAX);
 }
 
 /// Where the tasks of a job may run.
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ephemeral::frame_counts::{FrameKind, Purpose};
-use crate::ephemeral::job::{Resources, RunId, Urgency};
+use crate::ephemeral::job::{Priority, Resources, RunId};
 use crate::ephemeral::losses::WorkerLoss;
 use crate::ephemeral::session::SessionId;
 use crate::ephemeral::worker_id::WorkerId;
@@ -179,9 +179,11 @@
     /// if it is 0.
     pub patience_us: u64,
     /// Who is served first; orders the queue.
-    pub urgency: Urgency,
+    pub priority: Priority,
+    /// Whether it leaves room free for runs of a higher priority.
+    pub leaves_headroom: bool,
     /// Time until it should begin for its objective, in microseconds; orders the
-    /// queue among runs of the same urgency.
+    /// queue among runs of the same priority.
     pub due_us: u64,
     /// Run time that the entry expects on a worker of usual speed, in microseconds.
     pub expected_us: u64,
@@ -317,10 +319,9 @@
     pub worker: Option<Arc<WorkerTraits>>,
     /// Room that nobody holds.
     pub free: Resources,
-    /// What waits ahead of a new urgent run.
-    pub urgent_queue: QueueLoad,
-    /// What waits ahead of any other new run.
-    pub queue: QueueLoad,
+    /// What waits ahead of a new run, by priority: the first is for the most urgent, each
+    /// holds for all from its own to the next. Empty if nothing waits and nothing is known.
+    pub queues: Vec<QueueLoad>,
     /// Mean run time of recent runs, in microseconds; 0 if unknown.
     pub mean_run_us: u64,
     /// Run times against what entries expected, in percent.
@@ -337,23 +338,35 @@
 
 impl GateLoad {
     /// What waits ahead of a new run.
-    pub fn queue_ahead(&self, urgency: Urgency) -> &QueueLoad {
-        match urgency {
-            Urgency::Urgent => &self.urgent_queue,
-            Urgency::Normal => &self.queue,
-        }
+    pub fn queue_ahead(&self, priority: Priority) -> QueueLoad {
+        let ahead = self.queues.iter().rev();
+        let mut ahead = ahead.filter(|queue| queue.priority <= priority);
+        ahead.next().copied().unwrap_or_default()
     }
 }
 
 /// What waits for room at a gate.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueueLoad {
+    /// Most urgent run that this waits ahead of.
+    pub priority: Priority,
     /// Processor time wanted by runs that wait, in thousandths of a core.
     pub cpu_milli: u64,
     /// Time until the next run of usual size finds room, in microseconds.
     pub wait_us: u64,
 }
 
+impl Default for QueueLoad {
+    /// Nothing waits.
+    fn default() -> QueueLoad {
+        QueueLoad {
+            priority: Priority::URGENT,
+            cpu_milli: 0,
+            wait_us: 0,
+        }
+    }
+}
+
 /// What a worker is, for placement.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerTraits {
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::ephemeral::answer_times::AnswerTimes;
-use crate::ephemeral::job::{Constraints, Resources, RunId, Urgency};
+use crate::ephemeral::job::{Constraints, Priority, Resources, RunId};
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{GateLoad, QueueLoad, WorkerTraits};
 use crate::ephemeral::session::SessionId;
@@ -208,7 +208,10 @@
     pub fn had_no_room(&mut self, typical_us: u64) {
         self.load.free = Resources::default();
         let wait_us = (typical_us as f64 * FULL_WAIT) as u64;
-        for queue in [&mut self.load.urgent_queue, &mut self.load.queue] {
+        if self.load.queues.is_empty() {
+            self.load.queues.push(QueueLoad::default());
+        }
+        for queue in &mut self.load.queues {
             queue.wait_us = queue.wait_us.max(wait_us);
         }
     }
@@ -224,7 +227,7 @@
     }
 
     /// Processor time wanted beyond what is free, with `needs` added.
-    fn missing_cpu(&self, needs: &Resources, queue: &QueueLoad) -> f64 {
+    fn missing_cpu(&self, needs: &Resources, queue: QueueLoad) -> f64 {
         let wanted = needs.cpu_milli + queue.cpu_milli + self.unseen_cpu();
         wanted as f64 - self.load.free.cpu_milli as f64
     }
@@ -235,7 +238,7 @@
     }
 
     fn wait_us(&self, want: &Want<'_>, capacity: &Resources) -> f64 {
-        let queue = self.load.queue_ahead(want.urgency);
+        let queue = self.load.queue_ahead(want.priority);
         let missing = self.missing_cpu(want.needs, queue);
         if missing <= 0.0 {
             return 0.0;
@@ -264,7 +267,7 @@
     /// Where it may run.
     pub constraints: &'a Constraints,
     /// Who is served first.
-    pub urgency: Urgency,
+    pub priority: Priority,
     /// Run time on a worker of usual speed, in microseconds.
     pub expected_us: u64,
     /// Time left until the deadline, in microseconds.
--- a/src/ephemeral/routes.rs
+++ b/src/ephemeral/routes.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::ephemeral::job::Urgency;
+use crate::ephemeral::job::Priority;
+use crate::ephemeral::scheduling::Scheduling;
 
 /// Terms of one kind of job.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,12 +29,15 @@
 }
 
 impl Route {
-    /// Who is served first: the most urgent priority goes before all others,
-    /// which share what is left by their objectives.
-    pub fn urgency(&self) -> Urgency {
+    /// Who is served first: with priority classes each goes before the next; otherwise the
+    /// most urgent goes before all others, which share what is left by their objectives.
+    pub fn priority(&self, scheduling: &Scheduling) -> Priority {
         match self.priority {
-            0 => Urgency::Urgent,
-            _ => Urgency::Normal,
+            0 => Priority::URGENT,
+            priority if scheduling.priority_classes => {
+                Priority(priority.min(Priority::SPARE_ROOM.0 - 1))
+            }
+            _ => Priority::NORMAL,
         }
     }
 }
@@ -72,6 +76,8 @@
     pub routes: Vec<Arc<Route>>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// How work is scheduled where room is short.
+    pub scheduling: Scheduling,
 }
 
 impl RouteTable {
--- a/tests/dispatcher_bench/mod.rs
+++ b/tests/dispatcher_bench/mod.rs
@@ -63,8 +63,8 @@
 
 pub fn load(free_milli: u64, wait_us: u64) -> GateLoad {
     let queue = QueueLoad {
-        cpu_milli: 0,
         wait_us,
+        ..QueueLoad::default()
     };
     GateLoad {
         worker: Some(Arc::new(WorkerTraits {
@@ -79,8 +79,7 @@
             labels: vec!["a".into(), "rack-1".into()],
         })),
         free: cpu(free_milli),
-        urgent_queue: queue,
-        queue,
+        queues: vec![queue],
         mean_run_us: 100 * MS,
         slowness_percent: 100,
         ..GateLoad::default()
--- a/tests/ephemeral_admission.rs
+++ b/tests/ephemeral_admission.rs
@@ -4,8 +4,8 @@
 
 use dispatcher_bench::{Bench, MS, cpu, full, job, load};
 use winghold::code::{Effect, ResultCode};
-use winghold::ephemeral::job::{Constraints, JobSpec, Resources};
-use winghold::ephemeral::message::{GateLoad, RunEnd, WorkerTraits};
+use winghold::ephemeral::job::{Constraints, JobSpec, Priority, Resources};
+use winghold::ephemeral::message::{GateLoad, QueueLoad, RunEnd, WorkerTraits};
 
 #[test]
 fn without_room_in_time_a_job_is_refused_at_once_and_told_when_to_come_back() {
@@ -98,9 +98,18 @@
 fn an_urgent_job_does_not_wait_behind_others() {
     let mut bench = Bench::new(1);
     let mut busy = load(0, 0);
-    busy.queue.cpu_milli = 5_000;
-    busy.queue.wait_us = 500 * MS;
-    busy.urgent_queue.wait_us = 20 * MS;
+    busy.queues = vec![
+        QueueLoad {
+            priority: Priority::URGENT,
+            cpu_milli: 0,
+            wait_us: 20 * MS,
+        },
+        QueueLoad {
+            priority: Priority::NORMAL,
+            cpu_milli: 5_000,
+            wait_us: 500 * MS,
+        },
+    ];
     bench.load(1, busy);
     bench.submit(1, job(1, 1), 1);
     assert_eq!(bench.codes(), [ResultCode::Overloaded]);
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -4,7 +4,7 @@
 
 use gate_bench::*;
 use winghold::ephemeral::gate::GateAction;
-use winghold::ephemeral::job::{RunId, Urgency};
+use winghold::ephemeral::job::{Priority, RunId};
 use winghold::ephemeral::message::{NotRunReason, OpenRun, RunEnd, ToGate};
 use winghold::ephemeral::worker::{HoldCall, HoldReply, OrderError, StartReply, WorkerEnd};
 
@@ -453,7 +453,7 @@
     bench.order(run(1), 1_000, 500);
     bench.started(run(1), Ok(StartReply::Running));
     bench.order(run(2), 1_000, 100);
-    bench.order_as(Urgency::Urgent, run(3), 1_000, 400);
+    bench.order_as(Priority::URGENT, run(3), 1_000, 400);
     bench.lists(Vec::new(), vec![(1, run(1), WorkerEnd::Done)]);
     assert_eq!(bench.ordered(), vec![run(1), run(3)]);
 }
@@ -463,7 +463,7 @@
     let mut bench = Bench::ready();
     bench.order(run(1), 600, 500);
     bench.started(run(1), Ok(StartReply::Running));
-    bench.order_as(Urgency::Urgent, run(2), 500, 400);
+    bench.order_as(Priority::URGENT, run(2), 500, 400);
     bench.order(run(3), 300, 400);
     assert_eq!(bench.ordered(), vec![run(1)]);
     bench.lists(Vec::new(), vec![(1, run(1), WorkerEnd::Done)]);
@@ -475,9 +475,9 @@
     let mut bench = Bench::ready();
     bench.order(run(1), 1_000, 500);
     bench.order(run(2), 400, 500);
-    bench.order_as(Urgency::Urgent, run(3), 300, 500);
+    bench.order_as(Priority::URGENT, run(3), 300, 500);
     bench.pass(20);
     let load = bench.last_load();
-    assert_eq!(load.urgent_queue.cpu_milli, 300);
-    assert_eq!(load.queue.cpu_milli, 700);
+    assert_eq!(load.queue_ahead(Priority::URGENT).cpu_milli, 300);
+    assert_eq!(load.queue_ahead(Priority::NORMAL).cpu_milli, 700);
 }
--- a/tests/gate_bench/mod.rs
+++ b/tests/gate_bench/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use winghold::ephemeral::gate::{Gate, GateAction};
-use winghold::ephemeral::job::{JobId, Resources, RunId, Urgency};
+use winghold::ephemeral::job::{JobId, Priority, Resources, RunId};
 use winghold::ephemeral::limits::Limits;
 use winghold::ephemeral::message::{
     GateLoad, OpenRun, ProcessId, RunEnd, StartOrder, ToEntry, ToGate,
@@ -157,17 +157,18 @@
     }
 
     pub fn order(&mut self, run: RunId, cpu_milli: u64, patience_ms: u64) {
-        self.order_as(Urgency::Normal, run, cpu_milli, patience_ms);
+        self.order_as(Priority::NORMAL, run, cpu_milli, patience_ms);
     }
 
-    pub fn order_as(&mut self, urgency: Urgency, run: RunId, cpu_milli: u64, patience_ms: u64) {
+    pub fn order_as(&mut self, priority: Priority, run: RunId, cpu_milli: u64, patience_ms: u64) {
         self.sent += 1;
         let order = StartOrder {
             run,
             payload: "p".into(),
             needs: resources(cpu_milli),
             patience_us: patience_ms * MS,
-            urgency,
+            priority,
+            leaves_headroom: false,
             due_us: patience_ms * MS,
             expected_us: self.expected_us,
             movable: self.movable,
--- a/tests/large_fleet/entries.rs
+++ b/tests/large_fleet/entries.rs
@@ -192,11 +192,14 @@
 
     fn answered(&mut self, index: usize, id: JobId, code: ResultCode) {
         let came_us = self.open.remove(&id).unwrap_or(self.now_us);
-        let late = self.now_us > came_us + JobKind::of(id).objective_us();
+        let late = self.now_us > came_us + self.objective_us(id);
+        let kind = &mut self.counts.kinds[usize::from(JobKind::of(id).priority)];
         match code {
             ResultCode::Complete => {
                 self.counts.served += 1;
                 self.counts.late += u64::from(late);
+                kind.late += u64::from(late);
+                kind.in_time += u64::from(!late);
                 if !late {
                     let kind = JobKind::of(id);
                     self.counts.work_in_time_us += kind.run_us * u64::from(kind.tasks);
@@ -206,8 +209,14 @@
                     self.counts.watched_late += u64::from(late);
                 }
             }
-            ResultCode::Overloaded => self.counts.refused += 1,
-            _ => self.counts.unknown += 1,
+            ResultCode::Overloaded => {
+                self.counts.refused += 1;
+                kind.refused += 1;
+            }
+            _ => {
+                self.counts.unknown += 1;
+                kind.unknown += 1;
+            }
         }
     }
 
--- a/tests/large_fleet/gates.rs
+++ b/tests/large_fleet/gates.rs
@@ -11,7 +11,7 @@
 use winghold::logging;
 use winghold::time::Moment;
 
-use super::{Flight, JobKind, LargeFleet, STEP_US};
+use super::{Flight, LargeFleet, STEP_US};
 
 /// Pause between two reports of a worker.
 const REPORT_US: u64 = 1_500_000;
@@ -129,7 +129,7 @@
                 GateAction::Close(session) => self.close(session),
                 GateAction::Aim(_) | GateAction::Record(_) => {}
                 GateAction::Start(call) => {
-                    let work_us = JobKind::of(call.run.job).run_us;
+                    let work_us = self.work_us(index, call.run);
                     let worker = &mut self.workers[index];
                     let (reply, began) = worker.start(now.mono_us, &call, work_us);
                     self.counts.starts += u64::from(began);
--- a/tests/large_fleet/mod.rs
+++ b/tests/large_fleet/mod.rs
@@ -17,13 +17,15 @@
 use rand::{RngExt, SeedableRng};
 use winghold::ephemeral::directory::{GateRecord, WorkerRecord};
 use winghold::ephemeral::frame_counts::FrameKind;
-use winghold::ephemeral::job::{JobId, Resources};
+use winghold::ephemeral::job::{JobId, Resources, RunId};
 use winghold::ephemeral::limits::Limits;
 use winghold::ephemeral::message::{ProcessId, ToEntry, ToGate, WorkerTraits};
 use winghold::ephemeral::routes::Route;
+use winghold::ephemeral::scheduling::Scheduling;
 use winghold::ephemeral::session::SessionId;
 use winghold::ephemeral::worker_id::WorkerId;
 use winghold::time::Moment;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::ephemeral_fleet::limits;
 use super::ephemeral_fleet::worker::FakeWorker;
@@ -66,12 +68,6 @@
         KINDS[(job.0 % KINDS.len() as u64) as usize]
     }
 
-    /// Time in which a job is to be answered.
-    fn objective_us(self) -> u64 {
-        let route = self.route();
-        (self.run_us as f64 * route.stretch) as u64 + route.slack_us
-    }
-
     fn route(self) -> Arc<Route> {
         Arc::new(Route {
             name: format!("r{}", self.priority).into(),
@@ -95,9 +91,28 @@
     messages: Vec<M>,
 }
 
+/// What became of the jobs of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KindCounts {
+    pub in_time: u64,
+    pub late: u64,
+    pub refused: u64,
+    pub unknown: u64,
+}
+
+impl KindCounts {
+    /// Part of the answered jobs that met their objective.
+    pub fn part_in_time(&self) -> f64 {
+        let all = self.in_time + self.late + self.refused + self.unknown;
+        self.in_time as f64 / all.max(1) as f64
+    }
+}
+
 /// Counts of a stretch of time.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
+    /// By priority.
+    pub kinds: [KindCounts; KINDS.len()],
     pub frames: BTreeMap<FrameKind, u64>,
     pub starts: u64,
     pub served: u64,
@@ -157,6 +172,11 @@
     /// When open jobs came.
     open: HashMap<JobId, u64>,
     watched: Option<usize>,
+    scheduling: Scheduling,
+    /// Run time of a task on each worker, as a multiple of its kind's.
+    pub slowness: Vec<f64>,
+    /// Part of the tasks that run for several times as long, and how many times.
+    pub tail: (f64, f64),
     pub counts: Counts,
 }
 
@@ -184,6 +204,9 @@
             last_job: 0,
             open: HashMap::new(),
             watched: None,
+            scheduling: Scheduling::default(),
+            slowness: vec![1.0; gates],
+            tail: (0.0, 1.0),
             counts: Counts::default(),
         };
         fleet.start_all();
@@ -207,10 +230,42 @@
         for index in 0..self.entries.len() {
             let me = self.next_life(format!("entry-{index}"));
             let now = self.now();
-            self.entries[index] = Some(EntrySide::new(now, me, self.limits, &records));
+            let mut side = EntrySide::new(now, me, self.limits, &records);
+            side.dispatcher.schedule(self.scheduling);
+            self.entries[index] = Some(side);
         }
     }
 
+    /// The configuration turns on parts of the scheduler.
+    pub fn schedule(&mut self, scheduling: Scheduling) {
+        self.scheduling = scheduling;
+        for side in self.entries.iter_mut().flatten() {
+            side.dispatcher.schedule(scheduling);
+        }
+    }
+
+    /// Run time of a task on a worker of usual speed.
+    fn usual_us(&self, job: JobId, index: u32) -> f64 {
+        let (part, times) = self.tail;
+        let hash = xxh3_64(format!("{job}/{index}").as_bytes());
+        let is_long = (hash as f64 / u64::MAX as f64) < part;
+        let times = if is_long { times } else { 1.0 };
+        JobKind::of(job).run_us as f64 * times
+    }
+
+    /// Run time of a task on a worker.
+    fn work_us(&self, worker: usize, run: RunId) -> u64 {
+        (self.usual_us(run.job, run.index) * self.slowness[worker]) as u64
+    }
+
+    /// Time in which a job is to be answered: by its longest task.
+    fn objective_us(&self, job: JobId) -> u64 {
+        let kind = JobKind::of(job);
+        let tasks = (0..kind.tasks).map(|index| self.usual_us(job, index));
+        let route = kind.route();
+        (tasks.fold(0.0, f64::max) * route.stretch) as u64 + route.slack_us
+    }
+
     /// All processes lose power, and are back after `away_us`.
     pub fn lose_power(&mut self, away_us: u64) {
         self.entries.iter_mut().for_each(|entry| *entry = None);
@@ -241,6 +296,12 @@
 
     /// Runs with `load` times the usual jobs; returns what was counted.
     pub fn run(&mut self, span_us: u64, load: f64) -> Counts {
+        self.run_kinds(span_us, [load; KINDS.len()])
+    }
+
+    /// The same with a load for each kind: 8 tasks of 60 ms at priority 0, 4 of 900 ms at
+    /// priority 2, 2 of 200 ms at priority 1.
+    pub fn run_kinds(&mut self, span_us: u64, loads: [f64; KINDS.len()]) -> Counts {
         self.counts = Counts::default();
         let until_us = self.now_us + span_us;
         while self.now_us < until_us {
@@ -248,7 +309,7 @@
             for index in 0..self.workers.len() {
                 self.workers[index].advance(self.now_us);
             }
-            self.submit_due(load);
+            self.submit_due(loads);
             self.deliver();
             for index in 0..self.entries.len() {
                 self.entry_turn(index);
@@ -260,10 +321,11 @@
         self.counts.clone()
     }
 
-    fn submit_due(&mut self, load: f64) {
+    fn submit_due(&mut self, loads: [f64; KINDS.len()]) {
         let seconds = STEP_US as f64 / 1e6;
         for (index, kind) in KINDS.iter().enumerate() {
-            self.due[index] += kind.per_s_and_gate * self.gates.len() as f64 * seconds * load;
+            self.due[index] +=
+                kind.per_s_and_gate * self.gates.len() as f64 * seconds * loads[index];
             while self.due[index] >= 1.0 {
                 self.due[index] -= 1.0;
                 self.last_job += 1;
