An entry that falls behind refuses what it would answer late

Change: dispatcher/lag.rs behind Scheduling::lag_limit: the median wait of frames while turns are late; jobs whose waits for the entry take more than half of their slack are refused before they are placed, and a share of the tasks is taken that halves meanwhile and grows back. The red test turns the limit on with schedule(..); the fleet hands the dispatcher what the real loop knows: how long each frame lay ready, and how late each turn is.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -223,6 +223,11 @@
         let mut job = Job::new(spec, route, now.mono_us, wait_us, expected_us, first_run);
         job.sent_before = self.caller_waits.was_sent_before(&job.route.name, wait_us);
         job.waiters.push(waiter);
+        if let Some(answer) = self.refuse_for_lag(now, &job) {
+            self.log_end(now, &job, &answer);
+            self.actions.push(DispatchAction::Reply { waiter, answer });
+            return;
+        }
         self.ask_for_gates(now, &job);
         match self.admit(now, &job) {
             Ok(()) => {}
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -13,6 +13,7 @@
 mod congestion;
 mod gates;
 mod job;
+mod lag;
 mod losses;
 mod progress;
 mod typical_run;
@@ -39,6 +40,7 @@
 use config::Configs;
 use congestion::Congestion;
 use job::{Job, TaskState};
+use lag::Lag;
 use typical_run::TypicalRun;
 
 /// How long answers are kept for callers that ask again.
@@ -136,6 +138,7 @@
     typical_run: TypicalRun,
     configs: Configs,
     scheduling: Scheduling,
+    lag: Lag,
     actions: Vec<DispatchAction>,
     dirty: bool,
 }
@@ -168,6 +171,7 @@
             typical_run: TypicalRun::default(),
             configs: Configs::default(),
             scheduling: Scheduling::default(),
+            lag: Lag::default(),
             actions: Vec::new(),
             dirty: false,
         }
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -190,7 +190,9 @@
     fn note_turn(&mut self, now: Moment) {
         let gap = Duration::from_micros(now.mono_us.saturating_sub(self.turned_us));
         self.turned_us = now.mono_us;
-        self.latest_turn = self.latest_turn.max(gap.saturating_sub(TICK));
+        let late = gap.saturating_sub(TICK);
+        self.latest_turn = self.latest_turn.max(late);
+        self.dispatcher.turned_late(now, late);
     }
 
     fn handle(&mut self, now: Moment, event: Event) {
@@ -202,6 +204,7 @@
             }
             Event::Session(SessionEvent::Frame { session, frame }) => {
                 let age_us = self.sessions.age_us(now, session, frame.sent_us);
+                self.dispatcher.frame_waited(now, age_us);
                 if age_us > micros(self.parts.limits.frame_age) {
                     warn!(self.parts.log, "frame came late"; "session" => session.0,
                         "age_us" => age_us);
@@ -302,6 +305,7 @@
             self.shown_us = now.mono_us;
             self.sessions.show_counts(&self.parts.metrics);
             self.dispatcher.show_gates(&self.parts.metrics);
+            self.dispatcher.show_lag(now, &self.parts.metrics);
             let late_ms = std::mem::take(&mut self.latest_turn).as_millis() as u64;
             self.parts.metrics.time("turn_late_ms", late_ms);
         }
--- a/tests/ephemeral_heavy_load.rs
+++ b/tests/ephemeral_heavy_load.rs
@@ -12,6 +12,7 @@
 mod large_fleet;
 
 use large_fleet::{Counts, LargeFleet};
+use winghold::ephemeral::scheduling::Scheduling;
 
 const SECOND_US: u64 = 1_000_000;
 /// Load at which workers would be full without a break.
@@ -49,6 +50,10 @@
 #[test]
 fn an_entry_out_of_processor_time_refuses_what_it_would_answer_late() {
     let mut fleet = LargeFleet::new(12, 70);
+    fleet.schedule(Scheduling {
+        lag_limit: true,
+        ..Scheduling::default()
+    });
     fleet.run(2 * SECOND_US, 0.0);
     fleet.press(0, INPUT_US, 1);
     fleet.run(2 * SECOND_US, FULL * 0.9);
--- a/tests/large_fleet/entries.rs
+++ b/tests/large_fleet/entries.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use winghold::code::ResultCode;
 use winghold::ephemeral::directory::{GateChanges, GateRecord};
@@ -34,6 +35,7 @@
     pub input_us: u64,
     /// Until when it handles what it has read, and sends nothing.
     busy_until_us: u64,
+    turned_us: u64,
     /// What it does at the end of its turn.
     pending: Vec<DispatchAction>,
 }
@@ -51,6 +53,7 @@
             inbox: VecDeque::new(),
             input_us: 0,
             busy_until_us: 0,
+            turned_us: now.mono_us,
             pending: Vec::new(),
         }
     }
@@ -111,6 +114,8 @@
         let Some(side) = &mut self.entries[index] else {
             return;
         };
+        let waited_us = now.mono_us.saturating_sub(flight.at_us);
+        side.dispatcher.frame_waited(now, waited_us);
         side.dispatcher.heard(now, flight.session);
         for message in flight.messages {
             if matches!(&message, ToEntry::Ended { end, .. } if *end != RunEnd::Done) {
@@ -134,6 +139,10 @@
         let Some(side) = &mut self.entries[index] else {
             return;
         };
+        let late_us = now.mono_us.saturating_sub(side.turned_us + STEP_US);
+        side.turned_us = now.mono_us;
+        side.dispatcher
+            .turned_late(now, Duration::from_micros(late_us));
         side.dispatcher.tick(now);
         let inputs = std::mem::take(&mut side.inbox);
         let takes_us = side.input_us * inputs.len() as u64;
