A single late turn at calm is no lag

Cause: one turn of 12 ms or more within 150 ms made short jobs refused; entries of a small share of a core have such turns at calm. Change: turns count only if they are late for three tenths of the window together.

--- a/src/ephemeral/dispatcher/lag.rs
+++ b/src/ephemeral/dispatcher/lag.rs
@@ -2,8 +2,9 @@
 //!
 //! An entry whose share of a processor is spent handles requests and frames later than
 //! they came, and would answer late what it takes. Its lag is the median wait of the
-//! frames of gates, so that a few slow links do not count, and only while turns of its
-//! own loop are late as well, so that many slow links do not count either.
+//! frames of gates, so that a few slow links do not count, or its latest turn if that is
+//! more; and only while turns of its own loop are late for much of the time, so that many
+//! slow links do not count either.
 //!
 //! A job is refused if its waits for the entry would use up its slack. Because work that
 //! is taken shows in the lag only later, the entry also takes a share of the tasks that
@@ -22,9 +23,11 @@
 
 /// Time over which frames and turns are looked back on.
 const WINDOW: Duration = Duration::from_millis(150);
-/// Lateness of a turn from which the process is short of processor time; timers fire
-/// late by less.
+/// Lateness of a turn that counts; timers fire late by less.
 const LATE_TURN: Duration = Duration::from_millis(10);
+/// Part of the window by which turns are late from which the entry may be behind; a single
+/// late turn is other work on the machine.
+const LATE_PART: f64 = 0.3;
 /// Lateness of a turn that tells of a suspension, which is over by then.
 const SUSPENDED: Duration = Duration::from_millis(300);
 /// Most waits that are kept.
@@ -125,9 +128,11 @@
 
 impl Lag {
     fn us(&self, now: Moment) -> u64 {
-        let Some(turn_us) = self.late_turns.recent(now).max() else {
+        let late_us: u64 = self.late_turns.recent(now).sum();
+        if (late_us as f64) < LATE_PART * micros(WINDOW) as f64 {
             return 0;
-        };
+        }
+        let turn_us = self.late_turns.recent(now).max().unwrap_or(0);
         let mut waits: Vec<u64> = self.frames.recent(now).collect();
         waits.sort_unstable();
         let median_us = waits.get(waits.len() / 2).copied().unwrap_or(0);
