Priority classes: headroom at gates, and patience by the gate's own forecast

Cause: long runs of the least urgent kind take each slot that comes free, so urgent runs find none; runs sent on old loads bounce, or wait at gates where no room comes in time. Change: a run leaves free what more urgent orders of the last second are likely to need before the next run ends, at most a quarter of the worker; runs shorter than four times the wait of the urgent ones, or larger than that quarter, leave nothing. A run that found no room is held if it is expected to begin in time, and one that is not goes back at once. Loads count headroom as taken. What goes back beyond the room is placed again on loads that are old: to be mended next.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -245,6 +245,7 @@
         if now.mono_us >= self.shown_us + micros(self.parts.limits.beat) {
             self.shown_us = now.mono_us;
             self.sessions.show_counts(&self.parts.metrics);
+            self.gate.show_queue(now, &self.parts.metrics);
         }
     }
 
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -11,10 +11,13 @@
 
 mod config;
 mod evacuation;
+mod forecast;
+mod headroom;
 mod health;
 mod life;
 mod losses;
 mod pace;
+mod patience;
 mod progress;
 mod queue;
 mod restart;
@@ -40,10 +43,12 @@
 use crate::ephemeral::worker_id::WorkerId;
 use crate::time::{Moment, micros};
 use evacuation::Evacuation;
+use headroom::Headroom;
 use health::Health;
 use life::Life;
 use losses::Lost;
 use pace::Mark;
+use patience::PatienceCounts;
 use queue::Place;
 use restart::Kept;
 use sessions::Owner;
@@ -131,6 +136,8 @@
     movable: bool,
     /// Whether a worker was lost under its task before.
     implicated: bool,
+    /// Whether it leaves room free for more urgent ones.
+    leaves_headroom: bool,
     since_us: u64,
     /// When its order was first sent.
     ordered_us: u64,
@@ -198,6 +205,8 @@
     /// Orders without an answer when the last worker was lost.
     open_starts: HashMap<RunId, WorkerLoss>,
     room: Room,
+    headroom: Headroom,
+    patience_counts: PatienceCounts,
     health: Health,
     answers: AnswerTimes,
     owners: BTreeMap<ProcessId, Owner>,
@@ -245,6 +254,8 @@
             in_doubt: Vec::new(),
             open_starts: HashMap::new(),
             room: Room::default(),
+            headroom: Headroom::default(),
+            patience_counts: PatienceCounts::default(),
             health: Health::default(),
             answers: AnswerTimes::default(),
             owners: BTreeMap::new(),
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -2,6 +2,7 @@
 
 use slog::{debug, info};
 
+use super::headroom::Candidate;
 use super::life::Life;
 use super::{Gate, GateAction, Mark, PastRun, Run, RunState};
 use crate::ephemeral::job::{Priority, RunId};
@@ -9,9 +10,6 @@
 use crate::ephemeral::worker::StartCall;
 use crate::time::Moment;
 
-/// Part of its time so far that an overdue run is expected to take on.
-const OVERDUE_SHARE: u64 = 4;
-
 /// A run's place in the queue: by priority, then by the latest begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Place {
@@ -56,10 +54,11 @@
         let record = Run {
             owner,
             needs: order.needs,
-            payload: order.payload,
+            payload: order.payload.clone(),
             expected_us: order.expected_us,
             movable: order.movable,
             implicated: order.implicated,
+            leaves_headroom: order.leaves_headroom,
             since_us: now.mono_us,
             ordered_us: now.mono_us,
             state: RunState::Queued { place, until_us },
@@ -67,12 +66,16 @@
             mark: None,
         };
         self.runs.insert(run, record);
+        if order.leaves_headroom {
+            self.headroom.observe(now, &order);
+        }
         if let Some(reason) = closed {
             self.end(now, run, RunEnd::NotRun(reason));
             return;
         }
         self.queue.insert(place);
         self.load_changed = true;
+        self.adjust_patience(now, &place, &order);
         if order.patience_us == 0 {
             self.fill(now);
             self.refuse_late(now);
@@ -118,7 +121,7 @@
             }
             let busy = self.health.suspect() && self.runs.values().any(Run::is_out);
             let needs = self.runs[&place.run].needs;
-            if busy || !self.room.take(place.run, needs) {
+            if busy || !self.leaves_headroom(now, &place) || !self.room.take(place.run, needs) {
                 waits.get_or_insert(place.priority);
                 continue;
             }
@@ -127,6 +130,34 @@
         }
     }
 
+    /// Whether a run leaves enough room free if it begins now.
+    fn leaves_headroom(&self, now: Moment, place: &Place) -> bool {
+        let cpu_milli = self.runs[&place.run].needs.cpu_milli;
+        let wanted = cpu_milli + self.headroom_of(now, place);
+        wanted <= self.room.free().cpu_milli.max(cpu_milli)
+    }
+
+    /// Processor time that a run leaves free.
+    pub(super) fn headroom_of(&self, now: Moment, place: &Place) -> u64 {
+        let record = &self.runs[&place.run];
+        if !record.leaves_headroom {
+            return 0;
+        }
+        let candidate = Candidate {
+            priority: place.priority,
+            cpu_milli: record.needs.cpu_milli,
+            run_us: record.expected_us,
+        };
+        self.headroom_for(now, &candidate)
+    }
+
+    /// The same for a run that may come.
+    pub(super) fn headroom_for(&self, now: Moment, run: &Candidate) -> u64 {
+        let next_us = self.forecast(now).next_us();
+        let capacity = self.room.capacity().cpu_milli;
+        self.headroom.wanted(now, run, next_us, capacity)
+    }
+
     fn order(&mut self, now: Moment, run: RunId) {
         if let Some(record) = self.runs.get(&run) {
             let waited_us = now.mono_us.saturating_sub(record.since_us);
@@ -182,8 +213,11 @@
     /// What waits ahead of a new run, for each priority at which that changes.
     pub(super) fn queues(&self, now: Moment) -> Vec<QueueLoad> {
         let waiting = self.queue.iter().map(|place| place.priority);
-        let mut priorities: Vec<Priority> =
-            std::iter::once(Priority::URGENT).chain(waiting).collect();
+        let mut priorities: Vec<Priority> = std::iter::once(Priority::URGENT)
+            .chain(waiting)
+            .chain(self.headroom.priorities(now))
+            .collect();
+        priorities.sort_unstable();
         priorities.dedup();
         let queues = priorities.into_iter();
         queues
@@ -194,43 +228,14 @@
     fn queue_ahead(&self, now: Moment, priority: Priority) -> QueueLoad {
         let ahead = self.queue.iter().filter(|place| place.priority <= priority);
         let needs = ahead.map(|place| self.runs[&place.run].needs.cpu_milli);
-        let cpu_milli = needs.sum();
+        let queued: u64 = needs.sum();
+        let usual = self.headroom.usual(priority);
+        let cpu_milli = queued + self.headroom_for(now, &usual);
+        let forecast = self.forecast(now);
         QueueLoad {
             priority,
             cpu_milli,
-            wait_us: self.wait_us(now, cpu_milli),
-        }
-    }
-
-    /// Time until a run of the usual size would find room: when enough of the
-    /// present runs should have ended for the `queued` processor time and one more.
-    fn wait_us(&self, now: Moment, queued: u64) -> u64 {
-        let cpu = |run: &Run| run.needs.cpu_milli;
-        let out = self.runs.values().filter(|run| run.is_out());
-        let mut ends: Vec<(u64, u64)> = out.map(|run| (self.left_us(now, run), cpu(run))).collect();
-        let usual = ends.iter().map(|(_, cpu)| cpu).sum::<u64>() / ends.len().max(1) as u64;
-        let wanted = queued + usual;
-        let mut free = self.room.free().cpu_milli;
-        if free >= wanted {
-            return 0;
+            wait_us: forecast.wait_us(cpu_milli + forecast.usual_cpu_milli()),
         }
-        ends.sort_unstable();
-        for (left_us, cpu) in &ends {
-            free += cpu;
-            if free >= wanted {
-                return *left_us;
-            }
-        }
-        ends.last().map_or(0, |(left_us, _)| left_us * 2)
-    }
-
-    /// Time that a run is expected to go on; one that is overdue, for a share
-    /// of what it took so far.
-    fn left_us(&self, now: Moment, run: &Run) -> u64 {
-        let elapsed_us = now.mono_us.saturating_sub(run.since_us);
-        let expected_us = run.expected_us * u64::from(self.health.slowness_percent()) / 100;
-        expected_us
-            .saturating_sub(elapsed_us)
-            .max(elapsed_us / OVERDUE_SHARE)
     }
 }
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -206,6 +206,7 @@
             expected_us: claimed.expected_us,
             movable: false,
             implicated: false,
+            leaves_headroom: false,
             since_us: now.mono_us,
             ordered_us: 0,
             state,
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -350,7 +350,8 @@
 pub struct QueueLoad {
     /// Most urgent run that this waits ahead of.
     pub priority: Priority,
-    /// Processor time wanted by runs that wait, in thousandths of a core.
+    /// Processor time wanted by runs that wait, and headroom that a new one leaves free, in
+    /// thousandths of a core.
     pub cpu_milli: u64,
     /// Time until the next run of usual size finds room, in microseconds.
     pub wait_us: u64,
--- a/src/ephemeral/room.rs
+++ b/src/ephemeral/room.rs
@@ -22,6 +22,11 @@
         self.capacity = capacity;
     }
 
+    /// What the worker has.
+    pub fn capacity(&self) -> Resources {
+        self.capacity
+    }
+
     /// Room that nobody holds.
     pub fn free(&self) -> Resources {
         self.capacity.minus(&self.used)
