--- a/src/ephemeral/gate/patience.rs
+++ b/src/ephemeral/gate/patience.rs
@@ -8,7 +8,7 @@
 use slog::debug;
 
 use super::queue::Place;
-use super::{Gate, RunState};
+use super::{Gate, Run, RunState};
 use crate::ephemeral::job::{Priority, RunId};
 use crate::ephemeral::message::{NotRunReason, RunEnd, StartOrder};
 use crate::metrics::Metrics;
@@ -25,9 +25,8 @@
 const WAIT_SHARE: f64 = 0.8;
 /// Expected wait that no run goes back for, in microseconds: a try elsewhere takes as long.
 const SHORT_WAIT_US: u64 = 10_000;
-/// The same as a part of the time until it should begin: who has more time need not try
-/// as many gates.
-const SHORT_WAIT_SHARE: f64 = 0.125;
+/// The same as a part of the run time: a long run gains little at another gate.
+const SHORT_WAIT_SHARE: f64 = 0.1;
 
 /// Runs whose patience the forecast has changed.
 #[derive(Clone, Copy, Debug, Default)]
@@ -105,7 +104,7 @@
             };
             let wanted = ahead + record.needs.cpu_milli;
             let wait_us = forecast.wait_us(wanted + self.headroom_of(now, place));
-            if record.leaves_headroom && wait_us > longest_wait_us(now, place, until_us) {
+            if record.leaves_headroom && wait_us > longest_wait_us(now, record, until_us) {
                 hopeless.push(place.run);
             } else {
                 ahead = wanted;
@@ -116,9 +115,8 @@
 }
 
 /// Expected wait beyond which a run that waits until `until_us` goes back, in microseconds.
-fn longest_wait_us(now: Moment, place: &Place, until_us: u64) -> u64 {
+fn longest_wait_us(now: Moment, record: &Run, until_us: u64) -> u64 {
     let patience_us = until_us.saturating_sub(now.mono_us) as f64;
-    let due_us = place.due_us.saturating_sub(now.mono_us) as f64;
-    let short_us = (due_us * SHORT_WAIT_SHARE).max(SHORT_WAIT_US as f64);
+    let short_us = (record.expected_us as f64 * SHORT_WAIT_SHARE).max(SHORT_WAIT_US as f64);
     (patience_us * WAIT_SHARE + short_us) as u64
 }
--- a/tests/ephemeral_priority_classes.rs
+++ b/tests/ephemeral_priority_classes.rs
@@ -176,6 +176,7 @@
     send_all(&mut bench, 5, &running);
     let patient = Order {
         patience_ms: 150,
+        run_ms: 200,
         ..LONG_ORDER
     };
     send(&mut bench, 1, &patient);
