Congestion by priority

Cause: one measure of congestion for all jobs that are not the most urgent; waits of less urgent ones shortened the patience of more urgent ones. Change: with priority_classes, each priority has its own measure, and the part of its patience that a job may wait falls with what more urgent jobs find. Off: unchanged.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -91,14 +91,18 @@
         let patience_us = job.patience_us(now.mono_us) as f64;
         let wait = waits.first_us as f64 / patience_us.max(1.0);
         let typical_us = self.typical_run.us();
-        self.congestion.observe(now, wait, typical_us);
-        let most_us = patience_us * self.admit_share(job);
+        let class = self.congestion_class(job);
+        let congestion = self.congestion.class(class);
+        congestion.observe(now, wait, typical_us);
+        let level = congestion.level();
+        let before = self.congestion.level_before(now, class, typical_us);
+        let most_us = patience_us * self.admit_share(job, level) * (1.0 - before);
         if waits.longest_us as f64 > most_us {
             let text = format!(
                 "no room within {} us; it may wait {} us at congestion {:.2}",
                 waits.longest_us,
                 most_us as u64,
-                self.congestion.level()
+                level.max(before)
             );
             return Err(Denial::Answer(refused(&text, COME_BACK_MS)));
         }
@@ -113,9 +117,17 @@
         some && heard.all(|gate| gate.load.evacuated)
     }
 
-    /// Part of its patience that a job may be expected to wait for room.
-    fn admit_share(&self, job: &Job) -> f64 {
-        let level = self.congestion.level();
+    /// Whose waits tell about those of this job.
+    fn congestion_class(&self, job: &Job) -> Priority {
+        match self.scheduling.priority_classes {
+            true => job.route.priority(&self.scheduling),
+            false => Priority::URGENT,
+        }
+    }
+
+    /// Part of its patience that a job may be expected to wait for room, where congestion
+    /// among jobs like it stands at `level`.
+    fn admit_share(&self, job: &Job, level: f64) -> f64 {
         let between = |free: f64, congested: f64| free + (congested - free) * level;
         match job.route.priority(&self.scheduling) {
             _ if job.sent_before => between(ADMIT_SHARE, 0.0),
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -37,7 +37,7 @@
 use crate::time::{Moment, micros};
 use caller_waits::CallerWaits;
 use config::Configs;
-use congestion::Congestion;
+use congestion::CongestionByPriority;
 use job::{Job, TaskState};
 use typical_run::TypicalRun;
 
@@ -129,7 +129,7 @@
     /// By the names of gates that are gone.
     left_behind: HashMap<Arc<str>, LeftBehind>,
     probes: HashMap<Arc<str>, u64>,
-    congestion: Congestion,
+    congestion: CongestionByPriority,
     caller_waits: CallerWaits,
     placer: Placer,
     run_times: RunTimes,
@@ -162,7 +162,7 @@
             losses: LossLog::default(),
             left_behind: HashMap::new(),
             probes: HashMap::new(),
-            congestion: Congestion::default(),
+            congestion: CongestionByPriority::default(),
             caller_waits: CallerWaits::default(),
             run_times: RunTimes::default(),
             typical_run: TypicalRun::default(),
