Deferral: jobs without room wait in their entry

Cause: a job that found no room in time was refused with seconds left to its caller, or waited task by task at gates: some of its tasks began, others did not, and a quarter of the room worked for jobs that ended late. Change: with Scheduling::deferral a job waits at gates for a tenth of its patience only (0.4 for the most urgent where congestion stands), and is held in its entry otherwise until all its tasks find free room at once. Late ones go as Priority::SPARE_ROOM, with room for two tasks left free. Held for half of its caller's time; refused at once where such jobs found no room in the last second, but for one that finds out. Refused callers are told the time in which the work held before them finds room, spread by chance.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
 use slog::info;
 
 use super::job::Job;
 use super::{COME_BACK_MS, DispatchAction, Dispatcher, WaiterId, failed, refused};
 use crate::code::ResultCode;
-use crate::ephemeral::job::{JobId, JobSpec, Priority};
+use crate::ephemeral::job::{JobId, JobSpec, Priority, Resources};
 use crate::ephemeral::placement::{GateView, Want};
 use crate::ephemeral::routes::Route;
 use crate::ephemeral::subset::Prospect;
@@ -20,6 +21,9 @@
 
 /// When a caller should come back that no worker could be found for.
 const COME_BACK_LATER_MS: u64 = 1_000;
+/// Longest wait for room after which a caller should come back; it may end sooner than the
+/// deferred jobs of now tell.
+const LONGEST_COME_BACK_MS: u64 = 1_000;
 /// Weight of the caller's own estimate against the mean of past runs; estimates
 /// are often off by 40%, run times vary by 40%.
 const ESTIMATE_WEIGHT: f64 = 0.5;
@@ -31,6 +35,11 @@
 /// The same where congestion stands: less urgent jobs are refused first, and waits
 /// stay short for those that are taken.
 const CONGESTED_ADMIT_SHARE: f64 = 0.2;
+/// Part of its patience that a job waits in the queues of gates where it may wait in the
+/// entry as well: one that waits there begins as a whole or not at all.
+const QUEUE_SHARE: f64 = 0.1;
+/// The same of the most urgent jobs where congestion stands; they pass the others at gates.
+const URGENT_QUEUE_SHARE: f64 = 0.4;
 /// Part of its objective that a job waits for any gate: a refusal after that would
 /// come too late for its caller to try elsewhere.
 const PARKED_SHARE: f64 = 0.22;
@@ -49,6 +58,8 @@
 enum Denial {
     /// No gate takes work now.
     NoGate,
+    /// It would wait for too long.
+    NoRoom(Answer),
     /// This is its answer.
     Answer(Answer),
 }
@@ -84,7 +95,12 @@
                 Prospect::Unknown => Denial::Answer(refused(NOT_ALL_KNOWN, COME_BACK_LATER_MS)),
             });
         }
-        let Some(waits) = self.waits_of(now, job) else {
+        let before = self.level_before(now, job);
+        let headroom = match self.scheduling.deferral {
+            true => before,
+            false => 0.0,
+        };
+        let Some(waits) = self.waits_beside(now, job, headroom) else {
             let answer = refused("no worker takes it now", COME_BACK_LATER_MS);
             return Err(Denial::Answer(answer));
         };
@@ -95,7 +111,6 @@
         let congestion = self.congestion.class(class);
         congestion.observe(now, wait, typical_us);
         let level = congestion.level();
-        let before = self.congestion.level_before(now, class, typical_us);
         let most_us = patience_us * self.admit_share(job, level) * (1.0 - before);
         if waits.longest_us as f64 > most_us {
             let text = format!(
@@ -104,11 +119,25 @@
                 most_us as u64,
                 level.max(before)
             );
-            return Err(Denial::Answer(refused(&text, COME_BACK_MS)));
+            let come_back_ms = self.come_back_ms(now, job);
+            return Err(Denial::NoRoom(refused(&text, come_back_ms)));
         }
         Ok(())
     }
 
+    /// When the caller of a refused job should come back: once the deferred jobs before it
+    /// are expected to have found room. Spread, so that those who are refused in one rush
+    /// do not come back in another.
+    pub(super) fn come_back_ms(&mut self, now: Moment, job: &Job) -> u64 {
+        if !self.scheduling.deferral {
+            return COME_BACK_MS;
+        }
+        let priority = job.route.priority(&self.scheduling);
+        let wait_ms = (self.deferral.wait_us(now, priority) / 1e3) as u64;
+        let wait_ms = wait_ms.clamp(COME_BACK_MS, LONGEST_COME_BACK_MS);
+        wait_ms + self.rng.random_range(0..wait_ms)
+    }
+
     /// Whether every gate that is heard is in a failure domain that is evacuated: no other
     /// one will come within the patience of a job.
     fn all_evacuated(&self) -> bool {
@@ -125,11 +154,23 @@
         }
     }
 
+    /// How far congestion stands for more urgent jobs.
+    pub(super) fn level_before(&self, now: Moment, job: &Job) -> f64 {
+        let class = self.congestion_class(job);
+        self.congestion
+            .level_before(now, class, self.typical_run.us())
+    }
+
     /// Part of its patience that a job may be expected to wait for room, where congestion
     /// among jobs like it stands at `level`.
     fn admit_share(&self, job: &Job, level: f64) -> f64 {
+        let deferral = self.scheduling.deferral;
         let between = |free: f64, congested: f64| free + (congested - free) * level;
         match job.route.priority(&self.scheduling) {
+            Priority::URGENT if deferral && !job.sent_before => {
+                between(URGENT_ADMIT_SHARE, URGENT_QUEUE_SHARE)
+            }
+            _ if deferral => between(QUEUE_SHARE, 0.0),
             _ if job.sent_before => between(ADMIT_SHARE, 0.0),
             Priority::URGENT => URGENT_ADMIT_SHARE,
             _ => between(ADMIT_SHARE, CONGESTED_ADMIT_SHARE),
@@ -156,9 +197,18 @@
         }
     }
 
-    /// The waits that the tasks of the job would have if all were placed now; none
-    /// if some would find no gate.
-    fn waits_of(&mut self, now: Moment, job: &Job) -> Option<Waits> {
+    /// Whether all tasks of the job would begin at once beside room for `headroom` tasks.
+    pub(super) fn fits_beside(&mut self, now: Moment, job: &Job, headroom: f64) -> bool {
+        let waits = self.waits_beside(now, job, headroom);
+        waits.is_some_and(|waits| waits.longest_us == 0)
+    }
+
+    /// The waits that the tasks of the job would have if all were placed now, and room for
+    /// `headroom` more were kept at each gate; none if some would find no gate.
+    fn waits_beside(&mut self, now: Moment, job: &Job, headroom: f64) -> Option<Waits> {
+        for gate in self.gates.values_mut() {
+            gate.reserve(headroom_at(gate, &job.spec.needs, headroom));
+        }
         let mut waits = Vec::new();
         for index in 0..job.spec.count {
             let choice = self.choose(now, job, index);
@@ -236,13 +286,21 @@
         job.sent_before = self.caller_waits.was_sent_before(&job.route.name, wait_us);
         job.waiters.push(waiter);
         self.ask_for_gates(now, &job);
-        match self.admit(now, &job) {
+        self.note_asked(now, &job);
+        let admitted = self.admit(now, &job);
+        if let Err(Denial::NoRoom(_)) = &admitted {
+            job.deferred_until_us = self.deferred_until(now, &job);
+        }
+        match admitted {
             Ok(()) => {}
             Err(Denial::NoGate) => {
                 let parked_us = job.objective_us() as f64 * PARKED_SHARE;
                 job.parked_until_us = Some(now.mono_us + parked_us as u64);
             }
-            Err(Denial::Answer(answer)) => {
+            Err(Denial::NoRoom(answer)) if job.is_deferred() => {
+                self.hold(now, &job, &answer.message);
+            }
+            Err(Denial::Answer(answer) | Denial::NoRoom(answer)) => {
                 self.log_end(now, &job, &answer);
                 self.actions.push(DispatchAction::Reply { waiter, answer });
                 return;
@@ -281,8 +339,19 @@
                 let answer = refused("no worker is known", COME_BACK_LATER_MS);
                 self.finish(now, id, answer);
             }
+            Err(Denial::NoRoom(answer)) => self.defer_or_refuse(now, id, &answer.message),
             Err(Denial::Answer(answer)) => self.finish(now, id, answer),
         }
         false
     }
 }
+
+/// Room for `tasks` of these needs, as far as the worker, empty, holds it beside one more.
+fn headroom_at(gate: &GateView, needs: &Resources, tasks: f64) -> Resources {
+    let capacity = gate.worker().map_or(0, |worker| worker.capacity.cpu_milli);
+    let wanted = (needs.cpu_milli as f64 * tasks) as u64;
+    Resources {
+        cpu_milli: wanted.min(capacity.saturating_sub(needs.cpu_milli)),
+        ..Resources::default()
+    }
+}
--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -108,10 +108,10 @@
                     gate.observe(now, load);
                 }
                 self.note_service(now);
-                self.dirty |= !self.backlog.is_empty();
+                self.dirty |= !self.backlog.is_empty() || !self.deferral.is_empty();
             }
             ToEntry::Losses(losses) => self.learn_losses(now, &losses),
-            ToEntry::Began { run } => self.began(run),
+            ToEntry::Began { run } => self.began(now, run),
             ToEntry::Ended { run, end, run_us } => self.ended(now, &name, run, end, run_us),
             ToEntry::ConfigVersion(version) => self.gate_knows_config(now, &name, version),
             ToEntry::WantConfig { asker, wanted } => {
@@ -261,6 +261,7 @@
         metrics.gauge("sessions_open", answered.count() as u64);
         metrics.gauge("gates_open", self.open_gates() as u64);
         metrics.gauge("jobs_open", self.open_jobs() as u64);
+        metrics.gauge("jobs_deferred", self.deferral.len() as u64);
     }
 
     /// A gate could not be reached.
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use crate::ephemeral::dispatcher::WaiterId;
-use crate::ephemeral::job::{JobSpec, RunId};
+use crate::ephemeral::job::{JobSpec, Priority, RunId};
 use crate::ephemeral::routes::Route;
+use crate::ephemeral::scheduling::Scheduling;
 use crate::ephemeral::subset::JobKind;
 
 /// Share of the expected run time kept back when a start's patience is set;
@@ -63,6 +64,8 @@
     pub may_have_run: bool,
     /// Until when it waits for any gate, if none took work when it came.
     pub parked_until_us: Option<u64>,
+    /// Until when it is held for spare room, if it is deferred and nothing of it has begun.
+    pub deferred_until_us: Option<u64>,
     /// Why it is being withdrawn; it is answered once its runs are over.
     pub withdrawn: Option<&'static str>,
 }
@@ -96,6 +99,7 @@
             expected_us,
             may_have_run: false,
             parked_until_us: None,
+            deferred_until_us: None,
             withdrawn: None,
         }
     }
@@ -118,20 +122,44 @@
     }
 
     /// Latest time to begin a task so that it may end before the deadline.
-    fn last_begin_us(&self) -> u64 {
+    pub fn last_begin_us(&self) -> u64 {
         self.deadline_us
             .saturating_sub(self.expected_us + OVERHEAD_US)
     }
 
     /// How long a start may wait for room at a gate from `now_us` on.
     pub fn patience_us(&self, now_us: u64) -> u64 {
-        let until_us = match self.may_have_run {
+        let until_us = match self.may_have_run || self.is_deferred() {
             true => self.last_begin_us(),
             false => self.latest_begin_us(),
         };
         until_us.saturating_sub(now_us)
     }
 
+    /// Who is served first, among its tasks and those of others.
+    pub fn priority(&self, scheduling: &Scheduling, now_us: u64) -> Priority {
+        match self.is_deferred() && self.misses_objective(now_us) {
+            true => Priority::SPARE_ROOM,
+            false => self.route.priority(scheduling),
+        }
+    }
+
+    /// Whether it is too late to begin a task for the objective.
+    pub fn misses_objective(&self, now_us: u64) -> bool {
+        self.latest_begin_us() <= now_us
+    }
+
+    /// Whether it is held for room that is free.
+    pub fn is_deferred(&self) -> bool {
+        self.deferred_until_us.is_some()
+    }
+
+    /// Processor time that its tasks are expected to take, in core-microseconds.
+    pub fn work_us(&self) -> f64 {
+        let cores = self.spec.needs.cpu_milli as f64 / 1e3;
+        f64::from(self.spec.count) * cores * self.expected_us as f64
+    }
+
     /// Tasks that are at no gate.
     pub fn waiting(&self) -> impl Iterator<Item = u32> {
         let waiting = |(_, task): &(usize, &Task)| task.state == TaskState::Waiting;
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -11,6 +11,7 @@
 mod caller_waits;
 mod config;
 mod congestion;
+mod deferral;
 mod gates;
 mod job;
 mod losses;
@@ -21,6 +22,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use slog::{Logger, info};
 
 use crate::code::{Effect, ResultCode};
@@ -38,6 +41,7 @@
 use caller_waits::CallerWaits;
 use config::Configs;
 use congestion::CongestionByPriority;
+use deferral::Deferral;
 use job::{Job, TaskState};
 use typical_run::TypicalRun;
 
@@ -130,8 +134,10 @@
     left_behind: HashMap<Arc<str>, LeftBehind>,
     probes: HashMap<Arc<str>, u64>,
     congestion: CongestionByPriority,
+    deferral: Deferral,
     caller_waits: CallerWaits,
     placer: Placer,
+    rng: StdRng,
     run_times: RunTimes,
     typical_run: TypicalRun,
     configs: Configs,
@@ -145,6 +151,7 @@
     pub fn new(me: ProcessId, limits: Limits, log: Logger) -> Dispatcher {
         Dispatcher {
             placer: Placer::new(me.incarnation),
+            rng: StdRng::seed_from_u64(me.incarnation),
             subset: Subset::new(me.name.clone()),
             me,
             limits,
@@ -163,6 +170,7 @@
             left_behind: HashMap::new(),
             probes: HashMap::new(),
             congestion: CongestionByPriority::default(),
+            deferral: Deferral::default(),
             caller_waits: CallerWaits::default(),
             run_times: RunTimes::default(),
             typical_run: TypicalRun::default(),
@@ -183,6 +191,7 @@
         if self.dirty {
             self.dirty = false;
             self.place_backlog(now);
+            self.place_deferred(now);
         }
         self.add_heartbeats(now);
         std::mem::take(&mut self.actions)
@@ -211,7 +220,7 @@
         if job.parked_until_us.is_some() && !self.unpark(now, id) {
             return;
         }
-        let Some(job) = self.jobs.get(&id) else {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.is_deferred()) else {
             return;
         };
         let waiting: Vec<u32> = job.waiting().collect();
@@ -247,7 +256,11 @@
             return true;
         };
         let patience_us = job.patience_us(now.mono_us);
-        if choice.wait_us > patience_us {
+        let most_us = match job.is_deferred() {
+            true => 0,
+            false => patience_us,
+        };
+        if choice.wait_us > most_us {
             return false;
         }
         let task = &mut job.tasks[index as usize];
@@ -276,8 +289,8 @@
             run,
             payload: job.spec.payload.clone(),
             needs: job.spec.needs,
-            patience_us: wait_at_gate_us(&choice, bounces).min(patience_us),
-            priority: job.route.priority(&self.scheduling),
+            patience_us: wait_at_gate_us(&choice, bounces).min(most_us),
+            priority: job.priority(&self.scheduling, now.mono_us),
             leaves_headroom: self.scheduling.headroom,
             due_us: job.latest_begin_us().saturating_sub(now.mono_us),
             expected_us: job.expected_us,
@@ -327,7 +340,7 @@
             service: &job.route.service,
             needs: &job.spec.needs,
             constraints: &job.spec.constraints,
-            priority: job.route.priority(&self.scheduling),
+            priority: job.priority(&self.scheduling, now.mono_us),
             expected_us: job.expected_us,
             left_us: job.deadline_us.saturating_sub(now.mono_us),
             objective_us: job.objective_left_us(now.mono_us),
@@ -346,6 +359,7 @@
     pub fn tick(&mut self, now: Moment) {
         self.end_overdue(now);
         self.end_hopeless(now);
+        self.end_unserved(now);
         self.drop_silent_gates(now);
         self.part_from_surplus(now);
         self.doubt_quiet_gates(now);
@@ -353,7 +367,7 @@
         self.forget_past(now);
         self.losses.forget_old(now);
         self.forget_left_behind(now);
-        self.dirty |= !self.backlog.is_empty();
+        self.dirty |= !self.backlog.is_empty() || !self.deferral.is_empty();
     }
 
     fn end_overdue(&mut self, now: Moment) {
@@ -408,11 +422,12 @@
             return;
         }
         if job.is_untouched() {
-            self.finish(now, id, refused(why, COME_BACK_MS));
+            self.defer_or_refuse(now, id, why);
             return;
         }
         if job.withdrawn.replace(why).is_none() {
             self.backlog.remove(&(job.latest_begin_us(), id));
+            self.deferral.release(now, id);
             self.stop_runs(id);
         }
     }
@@ -442,6 +457,7 @@
             }
         }
         self.backlog.remove(&(job.latest_begin_us(), id));
+        self.deferral.release(now, id);
         self.deadlines.remove(&(job.deadline_us, id));
         self.log_end(now, &job, &answer);
         let runs = job.tasks.iter().map(|task| task.runs).max();
@@ -463,7 +479,7 @@
             "code" => answer.code.name(), "effect" => ?answer.effect, "why" => &answer.message,
             "took_us" => now.mono_us.saturating_sub(job.arrived_us),
             "caller_waits_us" => job.deadline_us - job.arrived_us,
-            "sent_before" => job.sent_before,
+            "sent_before" => job.sent_before, "deferred" => job.is_deferred(),
             "expected_us" => job.expected_us, "tasks" => job.spec.count,
             "runs" => job.tasks.iter().map(|task| task.runs).max(),
             "begin_within_us" => job.latest_begin_us().saturating_sub(job.arrived_us));
--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -16,7 +16,8 @@
 const MOST_RUNS: u32 = 1 << 30;
 
 impl Dispatcher {
-    pub(super) fn began(&mut self, run: RunId) {
+    pub(super) fn began(&mut self, now: Moment, run: RunId) {
+        self.deferral.began(now, run.job);
         if let Some(job) = self.jobs.get_mut(&run.job) {
             job.may_have_run = true;
         }
@@ -31,12 +32,12 @@
         run_us: u64,
     ) {
         self.run_left_gate(now, gate, run, end);
+        if !matches!(end, RunEnd::NotRun(_)) {
+            self.began(now, run);
+        }
         let Some(job) = self.jobs.get_mut(&run.job) else {
             return;
         };
-        if !matches!(end, RunEnd::NotRun(_)) {
-            job.may_have_run = true;
-        }
         let (route, expected_us) = (job.route.clone(), job.expected_us);
         let Some(task) = job.task_of(gate, run) else {
             return;
@@ -102,6 +103,7 @@
             self.give_up(now, id, "no time is left to run it elsewhere");
             return;
         }
+        self.hold_again(now, id);
         self.place(now, id);
     }
 
