Fair shares: a burst of one kind waits before calm traffic of others

Cause: where room is short, jobs of a kind whose callers ask for twice the usual were taken like those of calm kinds, which were refused with them. Change: with Scheduling::fair_shares each route but the most urgent ones has a token bucket that fills at 1.25 times the demand learned without congestion. A job without tokens while room is short is deferred as a late one, or refused without deferral.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -125,6 +125,23 @@
         Ok(())
     }
 
+    /// Denies a job that is surplus.
+    fn within_share(
+        &mut self,
+        now: Moment,
+        job: &mut Job,
+        admitted: Result<(), Denial>,
+    ) -> Result<(), Denial> {
+        job.surplus = self.is_surplus(now, job);
+        if !job.surplus {
+            return admitted;
+        }
+        admitted.and_then(|()| {
+            let answer = refused("more is asked for than usual", self.come_back_ms(now, job));
+            Err(Denial::NoRoom(answer))
+        })
+    }
+
     /// When the caller of a refused job should come back: once the deferred jobs before it
     /// are expected to have found room. Spread, so that those who are refused in one rush
     /// do not come back in another.
@@ -288,6 +305,7 @@
         self.ask_for_gates(now, &job);
         self.note_asked(now, &job);
         let admitted = self.admit(now, &job);
+        let admitted = self.within_share(now, &mut job, admitted);
         if let Err(Denial::NoRoom(_)) = &admitted {
             job.deferred_until_us = self.deferred_until(now, &job);
         }
--- a/src/ephemeral/dispatcher/deferral.rs
+++ b/src/ephemeral/dispatcher/deferral.rs
@@ -37,6 +37,7 @@
 struct Place {
     untouched: bool,
     misses_objective: bool,
+    surplus: bool,
     priority: Priority,
     /// Latest begin for the objective, or the deadline where that is past.
     due_us: u64,
@@ -187,6 +188,7 @@
     fn deferred_place(&self, now: Moment, job: &Job) -> Place {
         let misses_objective = job.misses_objective(now.mono_us);
         Place {
+            surplus: job.surplus,
             untouched: !job.may_have_run,
             misses_objective,
             priority: job.route.priority(&self.scheduling),
@@ -241,7 +243,7 @@
     /// Takes a deferred job in.
     pub(super) fn hold(&mut self, now: Moment, job: &Job, why: &str) {
         info!(self.log, "job deferred"; "job" => %job.spec.id, "route" => &*job.route.name,
-            "why" => why,
+            "why" => why, "surplus" => job.surplus,
             "hold_us" => job.deferred_until_us.map(|us| us - now.mono_us),
             "deferred" => self.deferral.len());
         let place = self.deferred_place(now, job);
@@ -292,7 +294,7 @@
         if slots.sum::<u64>() < u64::from(job.spec.count) {
             return false;
         }
-        let headroom = match job.misses_objective(now.mono_us) {
+        let headroom = match job.surplus || job.misses_objective(now.mono_us) {
             true => SPARE_HEADROOM,
             false => self.level_before(now, job),
         };
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -59,6 +59,8 @@
     pub deadline_us: u64,
     /// Whether its caller seems to have sent it before, so that its objective is past.
     pub sent_before: bool,
+    /// Whether its kind asks for more than usual while room is short.
+    pub surplus: bool,
     pub tasks: Vec<Task>,
     /// Whether a worker may have begun one of its tasks.
     pub may_have_run: bool,
@@ -91,6 +93,7 @@
             tasks: (0..spec.count).map(|_| task()).collect(),
             deadline_us: arrived_us + wait_us,
             sent_before: false,
+            surplus: false,
             kinds: JobKind::of(&route.service, &spec),
             spec,
             route,
@@ -138,7 +141,7 @@
 
     /// Who is served first, among its tasks and those of others.
     pub fn priority(&self, scheduling: &Scheduling, now_us: u64) -> Priority {
-        match self.is_deferred() && self.misses_objective(now_us) {
+        match self.is_deferred() && (self.surplus || self.misses_objective(now_us)) {
             true => Priority::SPARE_ROOM,
             false => self.route.priority(scheduling),
         }
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -12,6 +12,7 @@
 mod config;
 mod congestion;
 mod deferral;
+mod fair_shares;
 mod gates;
 mod job;
 mod losses;
@@ -42,6 +43,7 @@
 use config::Configs;
 use congestion::CongestionByPriority;
 use deferral::Deferral;
+use fair_shares::FairShares;
 use job::{Job, TaskState};
 use typical_run::TypicalRun;
 
@@ -135,6 +137,7 @@
     probes: HashMap<Arc<str>, u64>,
     congestion: CongestionByPriority,
     deferral: Deferral,
+    fair_shares: FairShares,
     caller_waits: CallerWaits,
     placer: Placer,
     rng: StdRng,
@@ -171,6 +174,7 @@
             probes: HashMap::new(),
             congestion: CongestionByPriority::default(),
             deferral: Deferral::default(),
+            fair_shares: FairShares::default(),
             caller_waits: CallerWaits::default(),
             run_times: RunTimes::default(),
             typical_run: TypicalRun::default(),
