--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use crate::ephemeral::dispatcher::WaiterId;
-use crate::ephemeral::job::{JobSpec, RunId};
+use crate::ephemeral::job::{JobSpec, Priority, RunId};
 use crate::ephemeral::routes::Route;
+use crate::ephemeral::scheduling::Scheduling;
 use crate::ephemeral::subset::JobKind;
 
 /// Share of the expected run time kept back when a start's patience is set;
@@ -58,11 +59,15 @@
     pub deadline_us: u64,
     /// Whether its caller seems to have sent it before, so that its objective is past.
     pub sent_before: bool,
+    /// Whether its kind asks for more than usual while room is short.
+    pub surplus: bool,
     pub tasks: Vec<Task>,
     /// Whether a worker may have begun one of its tasks.
     pub may_have_run: bool,
     /// Until when it waits for any gate, if none took work when it came.
     pub parked_until_us: Option<u64>,
+    /// Until when it is held for spare room, if it is deferred and nothing of it has begun.
+    pub deferred_until_us: Option<u64>,
     /// Why it is being withdrawn; it is answered once its runs are over.
     pub withdrawn: Option<&'static str>,
 }
@@ -88,6 +93,7 @@
             tasks: (0..spec.count).map(|_| task()).collect(),
             deadline_us: arrived_us + wait_us,
             sent_before: false,
+            surplus: false,
             kinds: JobKind::of(&route.service, &spec),
             spec,
             route,
@@ -96,6 +102,7 @@
             expected_us,
             may_have_run: false,
             parked_until_us: None,
+            deferred_until_us: None,
             withdrawn: None,
         }
     }
@@ -118,20 +125,44 @@
     }
 
     /// Latest time to begin a task so that it may end before the deadline.
-    fn last_begin_us(&self) -> u64 {
+    pub fn last_begin_us(&self) -> u64 {
         self.deadline_us
             .saturating_sub(self.expected_us + OVERHEAD_US)
     }
 
     /// How long a start may wait for room at a gate from `now_us` on.
     pub fn patience_us(&self, now_us: u64) -> u64 {
-        let until_us = match self.may_have_run {
+        let until_us = match self.may_have_run || self.is_deferred() {
             true => self.last_begin_us(),
             false => self.latest_begin_us(),
         };
         until_us.saturating_sub(now_us)
     }
 
+    /// Who is served first, among its tasks and those of others.
+    pub fn priority(&self, scheduling: &Scheduling, now_us: u64) -> Priority {
+        match self.is_deferred() && (self.surplus || self.misses_objective(now_us)) {
+            true => Priority::SPARE_ROOM,
+            false => self.route.priority(scheduling),
+        }
+    }
+
+    /// Whether it is too late to begin a task for the objective.
+    pub fn misses_objective(&self, now_us: u64) -> bool {
+        self.latest_begin_us() <= now_us
+    }
+
+    /// Whether it is held for room that is free.
+    pub fn is_deferred(&self) -> bool {
+        self.deferred_until_us.is_some()
+    }
+
+    /// Processor time that its tasks are expected to take, in core-microseconds.
+    pub fn work_us(&self) -> f64 {
+        let cores = self.spec.needs.cpu_milli as f64 / 1e3;
+        f64::from(self.spec.count) * cores * self.expected_us as f64
+    }
+
     /// Tasks that are at no gate.
     pub fn waiting(&self) -> impl Iterator<Item = u32> {
         let waiting = |(_, task): &(usize, &Task)| task.state == TaskState::Waiting;
