--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -179,8 +179,12 @@
     }
 
     fn expected_us(&self, spec: &JobSpec, route: &Route) -> u64 {
-        let mean_us = self.run_times.mean_us(&route.service, &route.name);
-        match (spec.estimate_us, mean_us) {
+        let median_us = match self.scheduling.worker_speeds {
+            true => self.run_spreads.median_us(route),
+            false => None,
+        };
+        let mean_us = || self.run_times.mean_us(&route.service, &route.name);
+        match (spec.estimate_us, median_us.or_else(mean_us)) {
             (0, None) => self.typical_run.us(),
             (0, Some(mean_us)) => mean_us,
             (estimate_us, None) => estimate_us,
@@ -222,6 +226,9 @@
         let id = spec.id;
         let mut job = Job::new(spec, route, now.mono_us, wait_us, expected_us, first_run);
         job.sent_before = self.caller_waits.was_sent_before(&job.route.name, wait_us);
+        if self.scheduling.worker_speeds {
+            job.spread = self.run_spreads.of(&job.route);
+        }
         job.waiters.push(waiter);
         self.ask_for_gates(now, &job);
         match self.admit(now, &job) {
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -5,6 +5,7 @@
 use crate::ephemeral::dispatcher::WaiterId;
 use crate::ephemeral::job::{JobSpec, RunId};
 use crate::ephemeral::routes::Route;
+use crate::ephemeral::run_spread::RunSpread;
 use crate::ephemeral::subset::JobKind;
 
 /// Share of the expected run time kept back when a start's patience is set;
@@ -54,6 +55,8 @@
     pub arrived_us: u64,
     /// Run time of its longest task that is expected, in microseconds.
     pub expected_us: u64,
+    /// How run times of its kind spread, where placement goes by that.
+    pub spread: Option<Arc<RunSpread>>,
     /// When its caller stops waiting.
     pub deadline_us: u64,
     /// Whether its caller seems to have sent it before, so that its objective is past.
@@ -94,6 +97,7 @@
             waiters: Vec::new(),
             arrived_us,
             expected_us,
+            spread: None,
             may_have_run: false,
             parked_until_us: None,
             withdrawn: None,
@@ -111,6 +115,13 @@
         until_us.saturating_sub(now_us + OVERHEAD_US)
     }
 
+    /// Time left of the objective beyond what its longest task adds, in microseconds; below 0
+    /// if part of that is spent.
+    pub fn slack_left_us(&self, now_us: u64) -> f64 {
+        let spent_us = now_us.saturating_sub(self.arrived_us) + OVERHEAD_US;
+        self.route.slack_us as f64 - spent_us as f64
+    }
+
     /// Latest time to begin a task so that the objective is met.
     pub fn latest_begin_us(&self) -> u64 {
         let run_us = (self.expected_us as f64 * RUN_MARGIN) as u64 + OVERHEAD_US;
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -28,7 +28,8 @@
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::losses::{LeftBehind, LossLog};
 use crate::ephemeral::message::{ConfigDocument, ProcessId, StartOrder, ToGate};
-use crate::ephemeral::placement::{Choice, GateView, Placer, Want};
+use crate::ephemeral::placement::{Choice, GateView, OnTime, Placer, Want};
+use crate::ephemeral::run_spread::RunSpreads;
 use crate::ephemeral::scheduling::Scheduling;
 use crate::ephemeral::session::SessionId;
 use crate::ephemeral::subset::Subset;
@@ -133,6 +134,7 @@
     caller_waits: CallerWaits,
     placer: Placer,
     run_times: RunTimes,
+    run_spreads: RunSpreads,
     typical_run: TypicalRun,
     configs: Configs,
     scheduling: Scheduling,
@@ -165,6 +167,7 @@
             congestion: Congestion::default(),
             caller_waits: CallerWaits::default(),
             run_times: RunTimes::default(),
+            run_spreads: RunSpreads::default(),
             typical_run: TypicalRun::default(),
             configs: Configs::default(),
             scheduling: Scheduling::default(),
@@ -333,6 +336,12 @@
             left_us: job.deadline_us.saturating_sub(now.mono_us),
             objective_us: job.objective_left_us(now.mono_us),
             typical_us: self.typical_run.us(),
+            on_time: job.spread.as_deref().map(|spread| OnTime {
+                spread,
+                tasks: job.spec.count,
+                stretch: job.route.stretch,
+                slack_us: job.slack_left_us(now.mono_us),
+            }),
         }
     }
 
--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -9,6 +9,7 @@
 use crate::ephemeral::dispatcher::job::TaskState;
 use crate::ephemeral::job::{JobId, RunId};
 use crate::ephemeral::message::{NotRunReason, RunEnd};
+use crate::ephemeral::placement::GateView;
 use crate::message::Answer;
 use crate::time::Moment;
 
@@ -47,6 +48,11 @@
                 task.state = TaskState::Done;
                 let done = job.all_done();
                 self.run_times.learn(&route.service, &route.name, run_us);
+                if self.scheduling.worker_speeds {
+                    let slowness = self.gates.get(gate).map_or(1.0, GateView::slowness);
+                    let expected_us = expected_us as f64 * slowness;
+                    self.run_spreads.learn(&route, run_us, expected_us);
+                }
                 self.typical_run.learn(run_us);
                 if done {
                     self.finish(now, run.job, Answer::complete(Vec::new()));
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -11,6 +11,7 @@
 //! - [`dispatcher`]: the entry's decisions; [`placement`] chooses gates.
 //! - [`gate`]: the decisions beside a worker; [`room`] counts its capacity.
 //! - [`evacuations`]: failure domains in which nothing more is started.
+//! - [`run_spread`]: how run times of one kind of jobs spread.
 //! - [`scheduling`]: which decisions under load the configuration turns on.
 //! - [`losses`]: which tasks workers were lost under, and when one is given up.
 //! - [`subset`]: which gates an entry has sessions with.
@@ -39,6 +40,7 @@
 pub mod placement;
 pub mod room;
 pub mod routes;
+pub mod run_spread;
 pub mod scheduling;
 pub mod session;
 pub mod subset;
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -16,6 +16,7 @@
 use crate::ephemeral::job::{Constraints, Priority, Resources, RunId};
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{GateLoad, QueueLoad, WorkerTraits};
+use crate::ephemeral::run_spread::{Placement, RunSpread};
 use crate::ephemeral::session::SessionId;
 use crate::time::{Moment, micros};
 
@@ -38,6 +39,14 @@
 /// it is certain to; between them run times decide that are not known yet.
 const MISS_FROM: f64 = 0.8;
 const MISS_BY: f64 = 1.1;
+/// The same where the chance of a miss is known; those tasks are no longer kept off fast
+/// workers for the long ones alone.
+const FAST_ROOM_BY_CHANCE: f64 = 0.1;
+/// Cost of a task that makes its job late, in work of the job: all of its tasks have run
+/// for little then, and so has what waited behind them.
+const MISSED_JOB: f64 = 3.0;
+/// Run time kept back when the chance of a miss is told: speeds are known to a tenth.
+const RUN_MARGIN: f64 = 1.1;
 /// Wait expected at a gate that was full against its load, in typical run times:
 /// of several runs there one ends soon.
 const FULL_WAIT: f64 = 0.125;
@@ -252,7 +261,8 @@
         first_us + unseen * mean_us / capacity.cpu_milli.max(1) as f64
     }
 
-    fn slowness(&self) -> f64 {
+    /// Run times against expectation.
+    pub fn slowness(&self) -> f64 {
         f64::from(self.load.slowness_percent.max(10)) / 100.0
     }
 }
@@ -277,9 +287,41 @@
     /// Run time of recent tasks of all kinds, in microseconds; the measure of what
     /// a wait, or a place that is taken, costs others.
     pub typical_us: u64,
+    /// How likely it ends in time, where placement goes by that.
+    pub on_time: Option<OnTime<'a>>,
+}
+
+/// What tells how likely a task ends in time for its job.
+#[derive(Clone, Copy, Debug)]
+pub struct OnTime<'a> {
+    /// How run times of its kind spread.
+    pub spread: &'a RunSpread,
+    /// Tasks of the job.
+    pub tasks: u32,
+    /// What the longest task counts in the objective.
+    pub stretch: f64,
+    /// Time left of the objective beyond that, in microseconds.
+    pub slack_us: f64,
 }
 
 impl Want<'_> {
+    fn fast_room(&self) -> f64 {
+        match self.on_time {
+            Some(_) => FAST_ROOM_BY_CHANCE,
+            None => FAST_ROOM,
+        }
+    }
+
+    /// Cost of the risk that the task misses its objective after a wait and a run, in
+    /// microseconds. Where its chance is known, a miss costs the work of the whole job.
+    fn missed_us(&self, wait_us: f64, run_us: f64) -> f64 {
+        let Some(on_time) = &self.on_time else {
+            return MISSED * self.typical_us as f64 * self.miss_chance(wait_us + run_us);
+        };
+        let job_us = self.expected_us as f64 * f64::from(on_time.tasks);
+        MISSED_JOB * job_us * on_time.miss_chance(self.expected_us, wait_us, run_us)
+    }
+
     /// How likely a task that would end after `end_us` misses its objective; 0 where
     /// the objective is past already, as nothing is to be won then.
     fn miss_chance(&self, end_us: f64) -> f64 {
@@ -307,6 +349,18 @@
     }
 }
 
+impl OnTime<'_> {
+    fn miss_chance(&self, expected_us: u64, wait_us: f64, run_us: f64) -> f64 {
+        self.spread.miss_chance(&Placement {
+            begin_us: wait_us,
+            run_us: run_us * RUN_MARGIN,
+            stretched_us: (expected_us as f64 * self.stretch).max(1.0),
+            slack_us: self.slack_us,
+            others: self.tasks.saturating_sub(1),
+        })
+    }
+}
+
 /// A gate for a task.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -353,9 +407,10 @@
             let free = gate.load.free.cpu_milli.saturating_sub(gate.unseen_cpu()) as f64;
             let used = 1.0 - free / worker.capacity.cpu_milli.max(1) as f64;
             let noise_us = self.rng.random::<f64>() * NOISE * typical_us;
-            let fast_us = FAST_ROOM * typical_us * (1.0 - gate.slowness()) * (1.0 - risk).max(0.0);
+            let fast_us =
+                want.fast_room() * typical_us * (1.0 - gate.slowness()) * (1.0 - risk).max(0.0);
             let crowded_us = CROWDING * typical_us * used * used;
-            let missed_us = MISSED * typical_us * want.miss_chance(wait_us + run_us);
+            let missed_us = want.missed_us(wait_us, run_us);
             let score = wait_us + run_us * risk + crowded_us + fast_us + missed_us + noise_us;
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let choice = Choice {
