--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -244,7 +244,10 @@
     fn show_figures(&mut self, now: Moment) {
         if now.mono_us >= self.shown_us + micros(self.parts.limits.beat) {
             self.shown_us = now.mono_us;
-            self.sessions.show_counts(&self.parts.metrics);
+            let metrics = &self.parts.metrics;
+            self.sessions.show_counts(metrics);
+            let percent = self.gate.slowness_percent();
+            metrics.gauge("worker_slowness_percent", u64::from(percent));
         }
     }
 
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -291,6 +291,7 @@
         };
         slog::debug!(self.log, "task sent"; "run" => %run, "gate" => &*choice.gate,
             "wait_us" => choice.wait_us, "run_us" => choice.run_us,
+            "miss_percent" => choice.miss_percent,
             "load_age_us" => now.mono_us.saturating_sub(gate.heard_us),
             "patience_us" => patience_us);
         let message = ToGate::Start(Box::new(order));
--- a/src/ephemeral/gate/health.rs
+++ b/src/ephemeral/gate/health.rs
@@ -46,6 +46,8 @@
     speed: Speed,
     /// Whether medians tell how fast the worker is, not means.
     by_median: bool,
+    /// Whether the log says that the worker is slow.
+    logged_slow: bool,
 }
 
 impl Default for Health {
@@ -60,6 +62,7 @@
             heard_us: 0,
             speed: Speed::default(),
             by_median: false,
+            logged_slow: false,
         }
     }
 }
@@ -125,6 +128,14 @@
         self.lately().max(self.pace) > self.usual() * SLOW_FROM
     }
 
+    /// Whether the worker has turned slow, or got well, since the last call.
+    pub fn take_turn(&mut self) -> Option<bool> {
+        let slow = self.is_slow();
+        let turned = self.logged_slow != slow;
+        self.logged_slow = slow;
+        turned.then_some(slow)
+    }
+
     /// Whether medians tell how fast the worker is, not means.
     pub fn by_median(&self) -> bool {
         self.by_median
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -27,7 +27,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 
 use crate::ephemeral::answer_times::AnswerTimes;
 use crate::ephemeral::directory::WorkerRecord;
@@ -279,6 +279,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Run times on the worker against what was expected, in percent.
+    pub fn slowness_percent(&self) -> u32 {
+        self.health.slowness_percent()
+    }
+
     /// Whether nothing waits or runs.
     pub fn idle(&self) -> bool {
         self.runs.is_empty()
@@ -404,6 +409,10 @@
         self.give_up_mute_life(now);
         self.forget_past(now);
         self.health.forget_old(now);
+        if let Some(slow) = self.health.take_turn() {
+            info!(self.log, "worker speed"; "slow" => slow, "usual" => self.health.usual(),
+                "slowness" => self.health.slowness());
+        }
     }
 
     fn stop_again(&mut self, now: Moment) {
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -312,19 +312,26 @@
         }
     }
 
-    /// Cost of the risk that the task misses its objective after a wait and a run, in
-    /// microseconds. Where its chance is known, a miss costs the work of the whole job.
-    fn missed_us(&self, wait_us: f64, run_us: f64) -> f64 {
-        let Some(on_time) = &self.on_time else {
-            return MISSED * self.typical_us as f64 * self.miss_chance(wait_us + run_us);
-        };
-        let job_us = self.expected_us as f64 * f64::from(on_time.tasks);
-        MISSED_JOB * job_us * on_time.miss_chance(self.expected_us, wait_us, run_us)
+    /// Cost of missing the objective, in microseconds. Where the chance of it is known, a
+    /// task that does costs the work of its whole job.
+    fn miss_cost_us(&self) -> f64 {
+        match &self.on_time {
+            Some(on_time) => MISSED_JOB * self.expected_us as f64 * f64::from(on_time.tasks),
+            None => MISSED * self.typical_us as f64,
+        }
+    }
+
+    /// How likely the task misses its objective after a wait and a run.
+    fn miss_chance(&self, wait_us: f64, run_us: f64) -> f64 {
+        match &self.on_time {
+            Some(on_time) => on_time.miss_chance(self.expected_us, wait_us, run_us),
+            None => self.miss_guess(wait_us + run_us),
+        }
     }
 
-    /// How likely a task that would end after `end_us` misses its objective; 0 where
-    /// the objective is past already, as nothing is to be won then.
-    fn miss_chance(&self, end_us: f64) -> f64 {
+    /// The same for a task whose kind is not known, that would end after `end_us`; 0
+    /// where the objective is past already, as nothing is to be won then.
+    fn miss_guess(&self, end_us: f64) -> f64 {
         if self.objective_us == 0 {
             return 0.0;
         }
@@ -370,6 +377,8 @@
     pub wait_us: u64,
     /// Expected run time there, in microseconds.
     pub run_us: u64,
+    /// How likely the task misses its objective, in percent.
+    pub miss_percent: u32,
 }
 
 /// Chooses gates.
@@ -410,13 +419,15 @@
             let fast_us =
                 want.fast_room() * typical_us * (1.0 - gate.slowness()) * (1.0 - risk).max(0.0);
             let crowded_us = CROWDING * typical_us * used * used;
-            let missed_us = want.missed_us(wait_us, run_us);
+            let miss_chance = want.miss_chance(wait_us, run_us);
+            let missed_us = want.miss_cost_us() * miss_chance;
             let score = wait_us + run_us * risk + crowded_us + fast_us + missed_us + noise_us;
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let choice = Choice {
                     gate: name.clone(),
                     wait_us: wait_us as u64,
                     run_us: run_us as u64,
+                    miss_percent: (miss_chance * 100.0) as u32,
                 };
                 best = Some((score, choice));
             }
