--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -340,8 +340,6 @@
             on_time: job.spread.as_deref().map(|spread| OnTime {
                 spread,
                 tasks: job.spec.count,
-                stretch: job.route.stretch,
-                slack_us: job.slack_left_us(now.mono_us),
             }),
         }
     }
