--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -5,6 +5,7 @@
 use crate::ephemeral::dispatcher::WaiterId;
 use crate::ephemeral::job::{JobSpec, Priority, RunId};
 use crate::ephemeral::routes::Route;
+use crate::ephemeral::run_spread::RunSpread;
 use crate::ephemeral::scheduling::Scheduling;
 use crate::ephemeral::subset::JobKind;
 
@@ -55,6 +56,8 @@
     pub arrived_us: u64,
     /// Run time of its longest task that is expected, in microseconds.
     pub expected_us: u64,
+    /// How run times of its kind spread, where placement goes by that.
+    pub spread: Option<Arc<RunSpread>>,
     /// When its caller stops waiting.
     pub deadline_us: u64,
     /// Whether its caller seems to have sent it before, so that its objective is past.
@@ -100,6 +103,7 @@
             waiters: Vec::new(),
             arrived_us,
             expected_us,
+            spread: None,
             may_have_run: false,
             parked_until_us: None,
             deferred_until_us: None,
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -33,7 +33,8 @@
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::losses::{LeftBehind, LossLog};
 use crate::ephemeral::message::{ConfigDocument, ProcessId, StartOrder, ToGate};
-use crate::ephemeral::placement::{Choice, GateView, Placer, Want};
+use crate::ephemeral::placement::{Choice, GateView, OnTime, Placer, Want};
+use crate::ephemeral::run_spread::RunSpreads;
 use crate::ephemeral::scheduling::Scheduling;
 use crate::ephemeral::session::SessionId;
 use crate::ephemeral::subset::Subset;
@@ -144,6 +145,7 @@
     placer: Placer,
     rng: StdRng,
     run_times: RunTimes,
+    run_spreads: RunSpreads,
     typical_run: TypicalRun,
     configs: Configs,
     scheduling: Scheduling,
@@ -180,6 +182,7 @@
             fair_shares: FairShares::default(),
             caller_waits: CallerWaits::default(),
             run_times: RunTimes::default(),
+            run_spreads: RunSpreads::default(),
             typical_run: TypicalRun::default(),
             configs: Configs::default(),
             scheduling: Scheduling::default(),
@@ -309,6 +312,7 @@
         };
         slog::debug!(self.log, "task sent"; "run" => %run, "gate" => &*choice.gate,
             "wait_us" => choice.wait_us, "run_us" => choice.run_us,
+            "miss_percent" => choice.miss_percent,
             "load_age_us" => now.mono_us.saturating_sub(gate.heard_us),
             "patience_us" => patience_us);
         let message = ToGate::Start(Box::new(order));
@@ -354,6 +358,10 @@
             left_us: job.deadline_us.saturating_sub(now.mono_us),
             objective_us: job.objective_left_us(now.mono_us),
             typical_us: self.typical_run.us(),
+            on_time: job.spread.as_deref().map(|spread| OnTime {
+                spread,
+                tasks: job.spec.count,
+            }),
         }
     }
 
