Priority tests: name the field that worker speeds add to orders

Cause: two merged parts, one adds a field to orders, one builds orders in a test. Change: the field, off.

--- a/tests/ephemeral_priority_classes.rs
+++ b/tests/ephemeral_priority_classes.rs
@@ -53,6 +53,7 @@
         patience_us: order.patience_ms * MS,
         priority: order.priority,
         leaves_headroom: true,
+        by_median: false,
         due_us: order.due_ms * MS,
         expected_us: order.run_ms * MS,
         movable: false,
