The next end of a run is found without sorting all of them

Cause: each waiting run asked for a whole forecast to learn when the next run ends. Ruled out: a forecast kept between turns; it is stale with each start and end. Change: the least time left, found in one pass.

--- a/src/ephemeral/gate/forecast.rs
+++ b/src/ephemeral/gate/forecast.rs
@@ -20,11 +20,6 @@
         sum / self.ends.len().max(1) as u64
     }
 
-    /// Time until the next run ends, in microseconds; 0 if there is none.
-    pub fn next_us(&self) -> u64 {
-        self.ends.first().map_or(0, |(left_us, _)| *left_us)
-    }
-
     /// Time until `wanted` is free, in microseconds; 0 if it is now.
     pub fn wait_us(&self, wanted: u64) -> u64 {
         let mut free = self.free_cpu_milli;
@@ -54,6 +49,13 @@
         }
     }
 
+    /// Time until the next run ends, in microseconds; 0 if there is none.
+    pub(super) fn next_end_us(&self, now: Moment) -> u64 {
+        let out = self.runs.values().filter(|run| run.is_out());
+        let left = out.map(|run| self.left_us(now, run));
+        left.min().unwrap_or(0)
+    }
+
     /// Time that a run is expected to go on; one that is overdue, for a share
     /// of what it took so far.
     fn left_us(&self, now: Moment, run: &Run) -> u64 {
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -153,7 +153,7 @@
 
     /// The same for a run that may come.
     pub(super) fn headroom_for(&self, now: Moment, run: &Candidate) -> u64 {
-        let next_us = self.forecast(now).next_us();
+        let next_us = self.next_end_us(now);
         let capacity = self.room.capacity().cpu_milli;
         self.headroom.wanted(now, run, next_us, capacity)
     }
