--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -115,6 +115,13 @@
         until_us.saturating_sub(now_us + OVERHEAD_US)
     }
 
+    /// Time left of the objective beyond what its longest task adds, in microseconds; below 0
+    /// if part of that is spent.
+    pub fn slack_left_us(&self, now_us: u64) -> f64 {
+        let spent_us = now_us.saturating_sub(self.arrived_us) + OVERHEAD_US;
+        self.route.slack_us as f64 - spent_us as f64
+    }
+
     /// Latest time to begin a task so that the objective is met.
     pub fn latest_begin_us(&self) -> u64 {
         let run_us = (self.expected_us as f64 * RUN_MARGIN) as u64 + OVERHEAD_US;
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -340,6 +340,8 @@
             on_time: job.spread.as_deref().map(|spread| OnTime {
                 spread,
                 tasks: job.spec.count,
+                stretch: job.route.stretch,
+                slack_us: job.slack_left_us(now.mono_us),
             }),
         }
     }
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -16,7 +16,7 @@
 use crate::ephemeral::job::{Constraints, Priority, Resources, RunId};
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{GateLoad, QueueLoad, WorkerTraits};
-use crate::ephemeral::run_spread::RunSpread;
+use crate::ephemeral::run_spread::{Placement, RunSpread};
 use crate::ephemeral::session::SessionId;
 use crate::time::{Moment, micros};
 
@@ -298,6 +298,10 @@
     pub spread: &'a RunSpread,
     /// Tasks of the job.
     pub tasks: u32,
+    /// What the longest task counts in the objective.
+    pub stretch: f64,
+    /// Time left of the objective beyond that, in microseconds.
+    pub slack_us: f64,
 }
 
 impl Want<'_> {
@@ -320,10 +324,7 @@
     /// How likely the task misses its objective after a wait and a run.
     fn miss_chance(&self, wait_us: f64, run_us: f64) -> f64 {
         match &self.on_time {
-            Some(on_time) => {
-                let limit_us = self.objective_us as f64 - wait_us;
-                on_time.spread.chance_above(limit_us, run_us * RUN_MARGIN)
-            }
+            Some(on_time) => on_time.miss_chance(self.expected_us, wait_us, run_us),
             None => self.miss_guess(wait_us + run_us),
         }
     }
@@ -355,6 +356,18 @@
     }
 }
 
+impl OnTime<'_> {
+    fn miss_chance(&self, expected_us: u64, wait_us: f64, run_us: f64) -> f64 {
+        self.spread.miss_chance(&Placement {
+            begin_us: wait_us,
+            run_us: run_us * RUN_MARGIN,
+            stretched_us: (expected_us as f64 * self.stretch).max(1.0),
+            slack_us: self.slack_us,
+            others: self.tasks.saturating_sub(1),
+        })
+    }
+}
+
 /// A gate for a task.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
--- a/src/ephemeral/run_spread.rs
+++ b/src/ephemeral/run_spread.rs
@@ -24,6 +24,23 @@
     quantiles: [f64; QUANTILES],
 }
 
+/// Where a task would run, and by when its job is to be answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Placement {
+    /// Time until it would begin, in microseconds.
+    pub begin_us: f64,
+    /// Run time there that is expected, in microseconds.
+    pub run_us: f64,
+    /// What a task's expected run time adds to the objective if it is the longest, in
+    /// microseconds.
+    pub stretched_us: f64,
+    /// Time until the objective beyond that, in microseconds; below 0 if part of it is
+    /// spent.
+    pub slack_us: f64,
+    /// Other tasks of the job.
+    pub others: u32,
+}
+
 impl RunSpread {
     /// The spread of some ratios.
     pub fn of(ratios: impl Iterator<Item = f64>) -> Option<RunSpread> {
@@ -38,13 +55,27 @@
         })
     }
 
-    /// How likely a run of `expected_us` takes longer than `limit_us`.
-    pub fn chance_above(&self, limit_us: f64, expected_us: f64) -> f64 {
-        let limit = limit_us / expected_us.max(1.0);
-        let within = self
-            .quantiles
-            .partition_point(|quantile| *quantile <= limit);
-        1.0 - within as f64 / QUANTILES as f64
+    /// Part of the runs with a ratio below `ratio`.
+    fn part_below(&self, ratio: f64) -> f64 {
+        let below = self.quantiles.partition_point(|quantile| *quantile < ratio);
+        below as f64 / QUANTILES as f64
+    }
+
+    /// How likely the task ends after the objective of its job, which goes by the longest
+    /// task: a long one may end later, and so may any beside a long one.
+    pub fn miss_chance(&self, at: &Placement) -> f64 {
+        let spent_us = at.begin_us - at.slack_us;
+        if spent_us <= 0.0 && at.run_us <= at.stretched_us {
+            return 0.0;
+        }
+        let chance = |ratio: &f64| {
+            let longest = (spent_us + at.run_us * ratio) / at.stretched_us;
+            match *ratio < longest {
+                true => self.part_below(longest).powi(at.others as i32),
+                false => 0.0,
+            }
+        };
+        self.quantiles.iter().map(chance).sum::<f64>() / QUANTILES as f64
     }
 }
 
