--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -39,11 +39,10 @@
 /// it is certain to; between them run times decide that are not known yet.
 const MISS_FROM: f64 = 0.8;
 const MISS_BY: f64 = 1.1;
-/// The same where the chance of a miss is known; those tasks are no longer kept off fast
-/// workers for the long ones alone.
+/// The same where the chance of a miss is known, which keeps tasks off slow workers.
 const FAST_ROOM_BY_CHANCE: f64 = 0.1;
-/// Cost of a task that makes its job late, in work of the job: all of its tasks have run
-/// for little then, and so has what waited behind them.
+/// Cost of a task that makes its job late, in work of the job: its other tasks are late
+/// with it.
 const MISSED_JOB: f64 = 3.0;
 /// Run time kept back when the chance of a miss is told: speeds are known to a tenth.
 const RUN_MARGIN: f64 = 1.1;
