Test of the decrease: runs end, so that room does not hide it

Change: each run is over before the next job comes; the bound is as it was. Conclusion: the test holds what it says.

--- a/tests/ephemeral_entry_lag.rs
+++ b/tests/ephemeral_entry_lag.rs
@@ -143,14 +143,20 @@
 #[test]
 fn long_jobs_in_between_do_not_hold_up_the_decrease() {
     let mut bench = bench();
+    let mut taken = 0;
     for id in 0..60 {
         turn(&mut bench, 30, [30; 5]);
         bench.submit(2 * id, job(2 * id, 1), 0);
+        let before = bench.starts.len();
         bench.submit(2 * id + 1, long_job(2 * id + 1), 2);
+        for start in bench.starts.split_off(before) {
+            bench.ended(start, RunEnd::Done);
+            taken += 1;
+        }
         for gate in 1..=4 {
             bench.load(gate, dispatcher_bench::load(1_000, 0));
         }
     }
-    // All long jobs are 60; the share falls within half a second.
-    assert!(bench.starts.len() < 45, "{}", bench.starts.len());
+    // Of 60; the share falls within half a second.
+    assert!(taken < 45, "{taken}");
 }
