Headroom of one run, or a tenth of a worker; late jobs rely on the gates' headroom

Cause: with all parts on, gates and entries both keep room, a quarter of a large worker at the gate alone, and the kind of the burst is refused although its room stands idle. Change: a gate leaves one run free, or a tenth of the worker where that is more, and nothing where fewer than four runs fit; an entry keeps room beside late jobs only where gates do not. Which part of it brings more was not taken apart further.

--- a/src/ephemeral/dispatcher/deferral.rs
+++ b/src/ephemeral/dispatcher/deferral.rs
@@ -25,11 +25,12 @@
 const LOOK_BACK: Duration = Duration::from_secs(1);
 /// Part of the work of a priority for which spare room is expected until the outcome of
 /// deferred jobs tells more.
-const EXPECTED_SPARE: f64 = 0.1;
+const EXPECTED_SPARE: f64 = 0.6;
 /// Deferred jobs of a class that find out whether there is spare room again.
 const PROBES: usize = 1;
-/// Room, in tasks, that stays free beside a task that misses its objective anyway: for
-/// those that come next and can still meet theirs.
+
+/// Room, in tasks, that stays free beside a task that misses its objective anyway, where
+/// gates keep none: for those that come next and can still meet theirs.
 const SPARE_HEADROOM: f64 = 2.0;
 
 /// Place of a deferred job. Begun ones go first, whose work would be lost otherwise, and
@@ -293,6 +294,7 @@
             return false;
         }
         let headroom = match job.surplus || job.misses_objective(now.mono_us) {
+            true if self.scheduling.headroom => 0.0,
             true => SPARE_HEADROOM,
             false => self.level_before(now, job),
         };
--- a/src/ephemeral/gate/headroom.rs
+++ b/src/ephemeral/gate/headroom.rs
@@ -19,9 +19,10 @@
 /// Chance that a more urgent run needs a slot from which the slot is left free. A job of
 /// eight tasks is late if one of them is.
 const LIKELY: f64 = 0.2;
-/// Largest part of a worker that is left free: one that fits fewer than four runs has none
-/// to spare.
-const MOST_SHARE: f64 = 0.25;
+/// Largest part of a worker that is left free, or one run where that is more.
+const MOST_SHARE: f64 = 0.1;
+/// Runs below which a worker that fits no more has no room to spare.
+const FEWEST_RUNS: u64 = 4;
 /// Times that a more urgent run may wait below which a run leaves nothing free: of several
 /// such runs on a worker one ends within that wait.
 const SHORT_RUN: f64 = 4.0;
@@ -114,8 +115,7 @@
     /// Processor time that `run` leaves free on a worker of `capacity`, where the next room
     /// comes free in `next_us`.
     pub fn wanted(&self, now: Moment, run: &Candidate, next_us: u64, capacity: u64) -> u64 {
-        let most = capacity as f64 * MOST_SHARE;
-        if run.cpu_milli as f64 > most {
+        if run.cpu_milli * FEWEST_RUNS > capacity {
             return 0;
         }
         let more_urgent = self.demand.range(..run.priority);
@@ -123,6 +123,8 @@
             .map(|(_, demand)| demand)
             .filter(|demand| run.run_us as f64 >= demand.due_us * SHORT_RUN)
             .filter(|demand| demand.is_present(now));
+        let largest = hindered.clone().map(|demand| demand.cpu_milli);
+        let most = largest.fold(capacity as f64 * MOST_SHARE, f64::max);
         let wanted = hindered.fold(0.0, |sum, demand| {
             let cpu_milli = demand.cpu_milli.max(1.0);
             let fit = ((most - sum) / cpu_milli).floor();
