--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -21,7 +21,7 @@
 use crate::ephemeral::routes::RouteTable;
 use crate::ephemeral::session::{SessionEvent, SessionId, SessionLoss, Sessions, dial};
 use crate::ephemeral::suspension::Suspension;
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::message::Answer;
 use crate::metrics::Metrics;
 use crate::store::{Store, StoreEntry};
@@ -280,7 +280,7 @@
         if document.version <= before {
             return;
         }
-        match self.parts.reader.read(&document.text) {
+        match self.parts.reader.read(&document.text).and_then(checked) {
             Ok(table) => {
                 info!(self.parts.log, "configuration in force"; "version" => table.version,
                     "before" => before, "routes" => table.routes.len(), "from" => from);
@@ -342,6 +342,15 @@
     }
 }
 
+/// The table, if the parts of the scheduler that it turns on go together.
+fn checked(table: RouteTable) -> Result<RouteTable> {
+    let faults = table.scheduling.faults();
+    match faults.is_empty() {
+        true => Ok(table),
+        false => Err(Error::Invalid(faults)),
+    }
+}
+
 fn document(reader: &dyn ConfigReader, text: bytes::Bytes, log: &Logger) -> Option<ConfigDocument> {
     match reader.read(&text) {
         Ok(table) => Some(ConfigDocument {
