--- a/src/ephemeral/gate/speed.rs
+++ b/src/ephemeral/gate/speed.rs
@@ -8,11 +8,9 @@
 
 use crate::time::{Moment, micros};
 
-/// Runs of the usual speed: the median of so many is good for a tenth, and half of them
-/// tell of a worker that has changed.
+/// Runs that tell the usual speed.
 const USUAL_RUNS: usize = 63;
-/// Runs of the speed of late. Six slow ones in eleven are no chance, also where one in ten
-/// takes twice as long as its caller guessed.
+/// Runs that tell the speed of late: most of them must be slow for the worker to be.
 const LATE_RUNS: usize = 11;
 /// Runs below which a worker counts as one of usual speed.
 const FEWEST_RUNS: usize = 3;
