Dispatcher: the end of an abandoned job is logged with what is known

Missing: `job over ... why="its caller left"` had `code=OVERLOADED effect=NotRun` also when starts had been sent. A reader who looks for the entry that ran the tasks of a job twice is led past it. Cause: remove_waiter builds a refusal whatever was sent. Nobody receives the answer: its caller is gone. Ruled out: a changed answer to a caller; the waiters are empty at this point. Answers kept for a job that comes again: only COMPLETE and TASK_FAILED are kept, before and now. Change: an untouched job keeps code and effect; any other has OUTCOME_UNKNOWN and Unknown. `job over` also has `open_runs`, the runs that were at gates when the job ended. Conclusion: the line tells whether runs of the job may have begun.

--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -516,6 +516,7 @@
             "sent_before" => job.is_resend, "deferred" => job.is_deferred(),
             "expected_us" => job.expected_us, "tasks" => job.spec.count,
             "runs" => job.tasks.iter().map(|task| task.runs).max(),
+            "open_runs" => job.placed_runs().count(),
             "begin_within_us" => job.latest_begin_us().saturating_sub(job.arrived_us));
     }
 
--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -6,7 +6,7 @@
 
 use super::{Dispatcher, WaiterId, failed, refused};
 use crate::code::{Effect, ResultCode};
-use crate::ephemeral::dispatcher::job::TaskState;
+use crate::ephemeral::dispatcher::job::{Job, TaskState};
 use crate::ephemeral::job::{JobId, RunId};
 use crate::ephemeral::message::{NotRunReason, RunEnd};
 use crate::ephemeral::placement::GateView;
@@ -120,8 +120,17 @@
         };
         job.waiters.retain(|other| *other != waiter);
         if job.waiters.is_empty() {
-            let answer = refused("its caller left", 0);
+            // Nobody receives this answer; it is only logged.
+            let answer = abandoned_answer(job);
             self.finish(now, id, answer);
         }
     }
 }
+
+fn abandoned_answer(job: &Job) -> Answer {
+    let why = "its caller left";
+    match job.is_untouched() {
+        true => refused(why, 0),
+        false => Answer::failure(ResultCode::OutcomeUnknown, Effect::Unknown, why),
+    }
+}
--- a/tests/dispatcher_bench/mod.rs
+++ b/tests/dispatcher_bench/mod.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use slog::Logger;
 use winghold::code::ResultCode;
 use winghold::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
 use winghold::ephemeral::job::{Constraints, JobId, JobSpec, Resources, RunId};
@@ -97,6 +98,11 @@
 impl Bench {
     /// A dispatcher with `gates` connected gates of 1,000 millicores.
     pub fn new(gates: u64) -> Bench {
+        Bench::with_log(gates, logging::discard())
+    }
+
+    /// As `new`; the dispatcher logs to `log`.
+    pub fn with_log(gates: u64, log: Logger) -> Bench {
         let limits = Limits::new(
             std::time::Duration::from_millis(1_300),
             std::time::Duration::from_secs(1),
@@ -107,7 +113,7 @@
             incarnation: 1,
         };
         let mut bench = Bench {
-            dispatcher: Dispatcher::new(me, limits, logging::discard()),
+            dispatcher: Dispatcher::new(me, limits, log),
             now: Moment {
                 mono_us: 1_000_000,
                 wall_ms: 0,
