Dispatcher: a job that opens is logged

Missing: an entry that dies with a job, and one whose job is still open, had no line that names the job before its first `task sent`, and none at all for a job that waits. Cause: only the end of a job and a deferral were logged. `caller joined an open job` also has `caller_waits_us` and `callers`. Test: two more in tests/ephemeral_log_lines.rs. Conclusion: each job that an entry holds has a line from its arrival on.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use slog::info;
+use slog::{debug, info};
 
 use super::job::Job;
 use super::{DispatchAction, Dispatcher, RETRY_AFTER_MS, WaiterId, failed, refused};
@@ -307,8 +307,9 @@
         wait_us: u64,
     ) {
         if let Some(job) = self.jobs.get_mut(&spec.id) {
-            info!(self.log, "caller joined an open job"; "job" => %spec.id);
             job.waiters.push(waiter);
+            info!(self.log, "caller joined an open job"; "job" => %spec.id,
+                "caller_waits_us" => wait_us, "callers" => job.waiters.len());
             return;
         }
         let finished = self.finished.get(&spec.id);
@@ -323,6 +324,7 @@
             return;
         }
         let first_run = finished.map_or(0, |finished| finished.next_run);
+        let seen_before = finished.is_some();
         let expected_us = self.expected_us(&spec, &route);
         let id = spec.id;
         let mut job = Job::new(spec, route, now.mono_us, wait_us, expected_us, first_run);
@@ -359,6 +361,9 @@
             }
         }
         let parked = job.parked_until_us.is_some();
+        debug!(self.log, "job opened"; "job" => %id, "route" => &*job.route.name,
+            "tasks" => job.spec.count, "caller_waits_us" => wait_us,
+            "seen_before" => seen_before, "deferred" => job.is_deferred(), "parked" => parked);
         if parked {
             self.backlog.insert((job.latest_begin_us(), id));
         }
--- a/tests/ephemeral_log_lines.rs
+++ b/tests/ephemeral_log_lines.rs
@@ -39,3 +39,28 @@
     caller_leaves(&mut bench);
     log.assert_line("job over", &["effect=NotRun", "open_runs=0"]);
 }
+
+/// An entry that dies with a job would leave no line that names it.
+#[test]
+fn opened_job_is_logged_before_its_tasks_are_sent() {
+    let log = CapturedLog::default();
+    let mut bench = Bench::with_log(1, log.logger());
+    bench.submit(1, job(1, 1), 0);
+    let fields = ["job=0000000000000001", "tasks=1", "seen_before=false"];
+    log.assert_line("job opened", &fields);
+    bench.submit(2, job(1, 1), 0);
+    log.assert_line("caller joined an open job", &["callers=2"]);
+}
+
+/// A job that comes again to the entry that ended it must not look like a first submission.
+#[test]
+fn job_that_comes_again_is_logged_as_seen_before() {
+    let log = CapturedLog::default();
+    let mut bench = Bench::with_log(1, log.logger());
+    bench.submit(1, job(1, 1), 0);
+    caller_leaves(&mut bench);
+    bench.submit(2, job(1, 1), 0);
+    let lines = log.lines("job opened");
+    assert_eq!(lines.len(), 2);
+    assert!(lines[1].contains(" seen_before=true "), "{}", lines[1]);
+}
