Entry and agent: short pauses of the process are counted and logged

Missing: a process that was stopped for 50 to 290 ms at a time left no trace on an agent, and on an entry only quantiles of `turn_late_ms`, without a time; `process was suspended` needs a gap of 300 ms between two turns. Cause: Suspension has one threshold. Change: `Pauses` compares each turn of the loop with the time it was asked for. A turn that is 40 ms late or later adds to the counters `pauses` and `paused_ms` (both processes) and gives the line `process paused` with `late_ms` at debug level. Nothing is decided by it; `Suspension` and `turn_late_ms` stay as they are. Test: short_pauses_are_counted in tests/suspended_machine.rs; before, it didn't compile (no `Pauses`). Not measured: the number of these lines on an overloaded entry; at most 25 a second follow from the threshold. Conclusion: the times at which a process stood still can be compared with those of runs.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
@@ -14,7 +14,7 @@
 use crate::ephemeral::limits::Limits;
 use crate::ephemeral::message::{ProcessId, ToEntry, ToGate};
 use crate::ephemeral::session::{SessionEndCause, SessionEvent, SessionId, Sessions};
-use crate::ephemeral::suspension::Suspension;
+use crate::ephemeral::suspension::{Pauses, Suspension};
 use crate::ephemeral::worker::{
     PollCall, PollReply, StartAnswer, WorkerCallError, WorkerClient, WorkerReport,
 };
@@ -136,6 +136,7 @@
     /// Runs until [`AgentHandle::leave`] is called and all runs have ended.
     pub async fn run(mut self) {
         let mut suspension = Suspension::new(self.parts.timer.now());
+        let mut pauses = Pauses::new(self.parts.timer.now());
         loop {
             let pause = self.gate.longest_pause(self.parts.timer.now());
             let timer = self.parts.timer.clone();
@@ -144,6 +145,9 @@
             if let Some(gap) = suspension.record_turn(now) {
                 warn!(self.parts.log, "process was suspended"; "gap_ms" => gap.as_millis() as u64);
             }
+            if let Some(late) = pauses.record_turn(now, pause) {
+                debug!(self.parts.log, "process paused"; "late_ms" => late.as_millis() as u64);
+            }
             if let Some(event) = event {
                 self.handle(now, event);
             }
@@ -152,7 +156,7 @@
             }
             self.gate.tick(now);
             self.execute_actions(now);
-            self.report_metrics(now);
+            self.report_metrics(now, &mut pauses);
             if self.leaving && self.gate.is_idle() {
                 break;
             }
@@ -244,7 +248,7 @@
     }
 
     /// Updates the metrics, once per heartbeat interval.
-    fn report_metrics(&mut self, now: Moment) {
+    fn report_metrics(&mut self, now: Moment, pauses: &mut Pauses) {
         if now.mono_us >= self.metrics_reported_us + micros(self.parts.limits.heartbeat_interval) {
             self.metrics_reported_us = now.mono_us;
             let metrics = &self.parts.metrics;
@@ -252,6 +256,7 @@
             self.gate.report_queue_metrics(now, metrics);
             let percent = self.gate.slowness_percent();
             metrics.gauge("worker_slowness_percent", u64::from(percent));
+            pauses.report(metrics);
         }
     }
 
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{oneshot, watch};
@@ -20,7 +20,7 @@
 use crate::ephemeral::message::{ConfigDocument, ProcessId, ToEntry, ToGate};
 use crate::ephemeral::routes::RouteTable;
 use crate::ephemeral::session::{SessionEndCause, SessionEvent, SessionId, Sessions, connect};
-use crate::ephemeral::suspension::Suspension;
+use crate::ephemeral::suspension::{Pauses, Suspension};
 use crate::error::{Error, Result};
 use crate::message::Answer;
 use crate::metrics::Metrics;
@@ -81,6 +81,7 @@
     tx: UnboundedSender<Event>,
     rx: UnboundedReceiver<Event>,
     suspension: Suspension,
+    pauses: Pauses,
     metrics_reported_us: u64,
     last_turn_us: u64,
     /// Largest delay of an event loop iteration since the last report.
@@ -114,6 +115,7 @@
             tx,
             rx,
             suspension: Suspension::new(parts.timer.now()),
+            pauses: Pauses::new(parts.timer.now()),
             metrics_reported_us: 0,
             last_turn_us: parts.timer.now().mono_us,
             max_turn_delay: Duration::ZERO,
@@ -186,6 +188,9 @@
         if let Some(gap) = self.suspension.record_turn(now) {
             warn!(self.parts.log, "process was suspended"; "gap_ms" => gap.as_millis() as u64);
         }
+        if let Some(late) = self.pauses.record_turn(now, TICK_INTERVAL) {
+            debug!(self.parts.log, "process paused"; "late_ms" => late.as_millis() as u64);
+        }
     }
 
     fn record_turn_delay(&mut self, now: Moment) {
@@ -313,6 +318,7 @@
             self.dispatcher.record_lag_metrics(now, &self.parts.metrics);
             let delay_ms = std::mem::take(&mut self.max_turn_delay).as_millis() as u64;
             self.parts.metrics.time("turn_late_ms", delay_ms);
+            self.pauses.report(&self.parts.metrics);
         }
     }
 
--- a/tests/suspended_machine.rs
+++ b/tests/suspended_machine.rs
@@ -6,7 +6,8 @@
 
 use rustix::time::{ClockId, clock_gettime};
 use winghold::ephemeral::session::FrameClock;
-use winghold::ephemeral::suspension::Suspension;
+use winghold::ephemeral::suspension::{Pauses, Suspension};
+use winghold::metrics::{Metrics, Registry};
 use winghold::time::{MonotonicClock, Timer};
 
 const SECOND_US: u64 = 1_000_000;
@@ -46,6 +47,31 @@
     assert_eq!(frames.age_us(timer.now(), 15 * SECOND_US), 0);
 }
 
+/// A process that gets processor time only now and then would look like one that never stood
+/// still, as each gap is below the threshold of a suspension.
+#[test]
+fn short_pauses_are_counted() {
+    let clock = Arc::new(ManualClock::default());
+    let timer = Timer::on_clock(clock.clone());
+    let wait = Duration::from_millis(10);
+    let mut pauses = Pauses::new(timer.now());
+    let mut turn_after_ms = |ms: u64| {
+        clock.advance(ms * 1_000);
+        pauses.record_turn(timer.now(), wait)
+    };
+    assert_eq!(turn_after_ms(10), None);
+    assert_eq!(turn_after_ms(20), None);
+    assert_eq!(turn_after_ms(60), Some(Duration::from_millis(50)));
+    assert_eq!(turn_after_ms(210), Some(Duration::from_millis(200)));
+    let registry = Registry::default();
+    let metrics = Metrics::in_memory(registry.clone());
+    for _ in 0..2 {
+        pauses.report(&metrics);
+        let page = registry.render();
+        assert_eq!(page, "winghold.paused_ms 250\nwinghold.pauses 2\n");
+    }
+}
+
 fn boot_time() -> Duration {
     let read = clock_gettime(ClockId::Boottime);
     Duration::new(
