Gate: lines on runs name the entry, and the cause of a stop

Missing: `run ordered` and `run ended` didn't name the owner of a run, so two runs of a task could not be told to be of one entry or of two. `stopping run` had `cause=Unwanted` for three different causes. `entry expired` and `worker incarnation ended` didn't tell how many runs they concern. Cause: StopCause had one variant for a stop by the entry, for a run that a reconnected entry did not claim, and for the expiry of the entry; nothing is decided by it. Change: `Withdrawn`, `NotClaimed` and `EntryExpired` in its place. `stopping run` has `entry` and `silent_us` (since the entry's frame before; for EntryExpired the silence that expired it). `run ordered`, `run ended`: `entry`. `entry expired`: `runs`. `worker incarnation ended`: `runs` (may be on the worker) and `carried_over`. Test: three more in tests/ephemeral_log_lines.rs. Conclusion: an agent's log alone tells whether a stop came from the entry or from its silence, and how long that was.

--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -90,12 +90,32 @@
 enum StopCause {
     /// The start was not answered.
     Unanswered,
-    /// The entry withdrew the run or is gone.
-    Unwanted,
+    /// The entry asked for it.
+    Withdrawn,
+    /// The entry connected again and did not claim the run.
+    NotClaimed,
+    /// The entry was silent for too long, or another incarnation of it connected.
+    EntryExpired {
+        /// Time since its last frame.
+        silent_us: u64,
+    },
     /// The run is slow or makes no progress.
     Stalled,
 }
 
+impl StopCause {
+    /// Name for log lines.
+    fn name(self) -> &'static str {
+        match self {
+            StopCause::Unanswered => "Unanswered",
+            StopCause::Withdrawn => "Withdrawn",
+            StopCause::NotClaimed => "NotClaimed",
+            StopCause::EntryExpired { .. } => "EntryExpired",
+            StopCause::Stalled => "Stalled",
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunState {
     /// Waits for room until `until_us`.
@@ -372,7 +392,14 @@
             sent_us: now.mono_us,
             acked_us: None,
         };
-        debug!(self.log, "stopping run"; "run" => %run, "cause" => ?cause, "began" => began);
+        let entry = record.owner.clone();
+        let silent_us = match cause {
+            // Its state is gone.
+            StopCause::EntryExpired { silent_us } => Some(silent_us),
+            _ => self.entry_silence_us(now, &entry),
+        };
+        debug!(self.log, "stopping run"; "run" => %run, "cause" => cause.name(),
+            "began" => began, "entry" => &*entry.name, "silent_us" => silent_us);
         self.send_stop(run);
     }
 
@@ -406,7 +433,7 @@
             _ => {}
         }
         debug!(self.log, "run ended"; "run" => %run, "end" => ?end, "run_us" => run_us,
-            "expected_us" => record.expected_us);
+            "expected_us" => record.expected_us, "entry" => &*record.owner.name);
         let ended = EndedRun {
             owner: record.owner,
             end,
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -168,7 +168,8 @@
         if let Some(record) = self.runs.get(&run) {
             let waited_us = now.mono_us.saturating_sub(record.queued_or_started_us);
             debug!(self.log, "run ordered"; "run" => %run, "waited_us" => waited_us,
-                "free_cpu_milli" => self.room.free().cpu_milli);
+                "free_cpu_milli" => self.room.free().cpu_milli,
+                "entry" => &*record.owner.name);
         }
         self.send_start(now, run, 0);
     }
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -81,7 +81,7 @@
                 }
                 self.admit(now, entry, *order);
             }
-            ToGate::Stop { run } => self.stop(now, run, StopCause::Unwanted),
+            ToGate::Stop { run } => self.stop(now, run, StopCause::Withdrawn),
             ToGate::Losses(losses) => self.receive_losses(&entry, losses),
             ToGate::ConfigVersion(version) => self.note_config_version(&entry, version),
             ToGate::WantConfig(wanted) => self.request_config_part(session, wanted),
@@ -150,7 +150,7 @@
             .filter(|run| open.iter().all(|claimed| claimed.run != *run))
             .collect();
         for run in unwanted {
-            self.stop(now, run, StopCause::Unwanted);
+            self.stop(now, run, StopCause::NotClaimed);
         }
         for claimed in open {
             self.claim(now, entry, claimed);
@@ -243,6 +243,12 @@
         }
     }
 
+    /// Time since the last frame of the entry, in microseconds; `None` if it has expired.
+    pub(super) fn entry_silence_us(&self, now: Moment, entry: &ProcessId) -> Option<u64> {
+        let state = self.entries.get(entry)?;
+        Some(now.mono_us.saturating_sub(state.last_frame_us))
+    }
+
     /// Whether the entry has sent a frame within the peer timeout.
     pub(super) fn is_entry_alive(&self, now: Moment, entry: &ProcessId) -> bool {
         let silence_us = micros(self.limits.peer_timeout);
@@ -278,21 +284,21 @@
         let Some(state) = self.entries.remove(entry) else {
             return;
         };
-        let silent_ms = now.mono_us.saturating_sub(state.last_frame_us) / 1_000;
-        info!(self.log, "entry expired"; "entry" => &*entry.name, "why" => why,
-            "silent_ms" => silent_ms);
-        if let Some(session) = state.session {
-            self.sessions.remove(&session);
-            self.actions.push(GateAction::Close(session));
-        }
+        let silent_us = now.mono_us.saturating_sub(state.last_frame_us);
         let owned: Vec<RunId> = self
             .runs
             .iter()
             .filter(|(_, record)| record.owner == *entry)
             .map(|(run, _)| *run)
             .collect();
+        info!(self.log, "entry expired"; "entry" => &*entry.name, "why" => why,
+            "silent_ms" => silent_us / 1_000, "runs" => owned.len());
+        if let Some(session) = state.session {
+            self.sessions.remove(&session);
+            self.actions.push(GateAction::Close(session));
+        }
         for run in owned {
-            self.stop(now, run, StopCause::Unwanted);
+            self.stop(now, run, StopCause::EntryExpired { silent_us });
         }
     }
 
--- a/src/ephemeral/gate/worker_incarnations.rs
+++ b/src/ephemeral/gate/worker_incarnations.rs
@@ -249,8 +249,10 @@
         let Some(incarnation) = self.incarnation.take() else {
             return;
         };
+        let dispatched = self.runs.values().filter(|run| run.is_dispatched()).count();
         info!(self.log, "worker incarnation ended"; "worker" => %incarnation.traits.id,
-            "why" => end.name());
+            "why" => end.name(), "runs" => dispatched,
+            "carried_over" => self.carry_over.is_some());
         // A worker that leaves announces it, so runs still on it are not counted as losses.
         if end != IncarnationEnd::Left && !incarnation.leaving {
             self.record_losses(now, &incarnation.traits.id);
--- a/tests/ephemeral_log_lines.rs
+++ b/tests/ephemeral_log_lines.rs
@@ -2,12 +2,14 @@
 
 mod captured_log;
 mod dispatcher_bench;
+mod gate_bench;
 
 use captured_log::CapturedLog;
 use dispatcher_bench::{Bench, MS, full, job};
 use winghold::ephemeral::dispatcher::WaiterId;
 use winghold::ephemeral::job::JobId;
-use winghold::ephemeral::message::{NotRunReason, RunEnd};
+use winghold::ephemeral::message::{NotRunReason, RunEnd, ToGate};
+use winghold::ephemeral::worker::StartReply;
 
 fn caller_leaves(bench: &mut Bench) {
     let (now, waiter) = (bench.now, WaiterId(1));
@@ -64,3 +66,54 @@
     assert_eq!(lines.len(), 2);
     assert!(lines[1].contains(" seen_before=true "), "{}", lines[1]);
 }
+
+/// A gate with a run of the entry `e` on its worker.
+fn gate_with_run(log: &CapturedLog) -> gate_bench::Bench {
+    let mut bench = gate_bench::Bench::without_worker_with_log(log.logger());
+    let report = gate_bench::report("w", false, 1);
+    bench.gate.worker_report(bench.now, report);
+    bench.collect();
+    bench.answer_first_poll();
+    bench.list_runs(Vec::new(), Vec::new());
+    bench.connect_entry(Vec::new());
+    let run = gate_bench::run(1);
+    bench.order(run, 600, 100);
+    bench.answer_start(run, Ok(StartReply::Running));
+    bench
+}
+
+/// A stop that an entry asked for would look like one for its silence.
+#[test]
+fn stop_of_a_run_is_logged_with_its_entry_and_cause() {
+    let log = CapturedLog::default();
+    let mut bench = gate_with_run(&log);
+    log.assert_line("run ordered", &["entry=e"]);
+    let (now, run) = (bench.now, gate_bench::run(1));
+    let stop = ToGate::Stop { run };
+    bench.gate.handle_message(now, gate_bench::ENTRY, stop);
+    log.assert_line("stopping run", &["entry=e", "cause=Withdrawn"]);
+}
+
+/// A stop for an entry's silence would look like one that the entry asked for.
+#[test]
+fn stop_for_silence_is_logged_with_the_length_of_the_silence() {
+    let log = CapturedLog::default();
+    let mut bench = gate_with_run(&log);
+    bench.advance(460);
+    let fields = ["entry=e", "cause=EntryExpired", "silent_us=460000"];
+    log.assert_line("stopping run", &fields);
+    let fields = ["entry=e", "why=silent", "runs=1"];
+    log.assert_line("entry expired", &fields);
+}
+
+/// The runs that a gate takes for over with its worker could not be counted.
+#[test]
+fn end_of_a_worker_incarnation_is_logged_with_its_runs() {
+    let log = CapturedLog::default();
+    let mut bench = gate_with_run(&log);
+    let worker = bench.worker();
+    bench.gate.worker_left(bench.now, &worker);
+    let fields = ["runs=1", "carried_over=false"];
+    log.assert_line("worker incarnation ended", &fields);
+    log.assert_line("run ended", &["entry=e", "end=Stopped"]);
+}
--- a/tests/gate_bench/mod.rs
+++ b/tests/gate_bench/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use slog::Logger;
 use winghold::ephemeral::gate::{Gate, GateAction};
 use winghold::ephemeral::job::{JobId, Priority, Resources, RunId};
 use winghold::ephemeral::limits::Limits;
@@ -81,12 +82,17 @@
 impl Bench {
     /// A gate without a worker.
     pub fn without_worker() -> Bench {
+        Bench::without_worker_with_log(logging::discard())
+    }
+
+    /// As `without_worker`; the gate logs to `log`.
+    pub fn without_worker_with_log(log: Logger) -> Bench {
         let limits = Limits::new(
             std::time::Duration::from_millis(1_300),
             std::time::Duration::from_secs(1),
             std::time::Duration::from_millis(50),
         );
-        let gate = Gate::new(process("g", 1), limits, logging::discard());
+        let gate = Gate::new(process("g", 1), limits, log);
         let now = Moment {
             mono_us: 1_000_000,
             wall_ms: 0,
