Entry: dispatch a job only while its caller is connected

What callers saw: all tasks of a job ran on two workers at once; the first runs were started and stopped within milliseconds by their entry.

Cause: an entry counts a request as new when its handler runs. A request that waited in the listen backlog or the receive buffer of an entry without processor time can be read after its caller has left and, 1.3 s later, has sent the job to another entry. The data is read before the end of the connection behind it, and the start orders were out before that end was handled: in the reproduction `job over why="its caller left"` follows `task sent` within the same millisecond.

Ruled out: that the end of the connection was still on its way (the caller had closed 60 ms before the entry went on; a reset behaves the same); sessions with gates that were given up meanwhile, which would refuse the starts (a pause of 120 ms leaves them open).

Change: before a job is dispatched, the state of its caller's socket is read with poll(2), which shows the end of the stream also behind unread bytes; the job of a caller that has left is dropped (`request dropped: its caller has disconnected`, counter `requests_dropped`). The check is made in the turn of the loop that decides, so it covers the backlog, the receive buffer, the HTTP server and the queue of events alike, without an estimate of the request's age.

Conclusion: what is dispatched had a caller when it was decided. What is decided before a pause and sent after it, and callers that leave later, are separate faults.

--- a/src/ephemeral/entry/handle.rs
+++ b/src/ephemeral/entry/handle.rs
@@ -10,6 +10,7 @@
 
 use super::Event;
 use crate::code::ResultCode;
+use crate::ephemeral::callers::CallerSocket;
 use crate::ephemeral::dispatcher::WaiterId;
 use crate::ephemeral::job::{JobId, JobSpec};
 use crate::ephemeral::routes::{Route, RouteTable};
@@ -27,6 +28,8 @@
     pub spec: JobSpec,
     pub route: Arc<Route>,
     pub wait_us: u64,
+    /// Connection that waits for the answer.
+    pub socket: CallerSocket,
     pub reply: oneshot::Sender<Answer>,
 }
 
@@ -106,8 +109,15 @@
         let _ = self.events.send(Event::Leave);
     }
 
-    /// Runs a job. Dropping the future counts as a disconnect of the caller.
-    pub async fn submit(&self, spec: JobSpec, route: Arc<Route>, wait: Duration) -> Answer {
+    /// Runs a job for the caller on `socket`, who waits `wait` for the answer. Dropping the
+    /// future counts as a disconnect of the caller.
+    pub async fn submit(
+        &self,
+        spec: JobSpec,
+        route: Arc<Route>,
+        wait: Duration,
+        socket: CallerSocket,
+    ) -> Answer {
         let number = self.waiters.fetch_add(1, Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
         let mut guard = WaiterGuard {
@@ -121,6 +131,7 @@
             spec,
             route,
             wait_us: micros(wait),
+            socket,
             reply,
         };
         let _ = self.events.send(Event::Submit(Box::new(submission)));
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{oneshot, watch};
 
+use crate::ephemeral::callers;
 use crate::ephemeral::directory::{self, GateChanges};
 use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
 use crate::ephemeral::follower::{Follower, WATCH_TIMEOUT, WatchedKeys};
@@ -238,11 +239,19 @@
         self.status.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Dispatches a job, unless its caller has disconnected: the caller may have resent the
+    /// job to another entry meanwhile.
     fn submit(&mut self, now: Moment, submission: Submission) {
-        self.replies.insert(submission.waiter, submission.reply);
+        let (waiter, job) = (submission.waiter, submission.spec.id);
+        if submission.reply.is_closed() || callers::is_disconnected(&submission.socket) {
+            info!(self.parts.log, "request dropped: its caller has disconnected"; "job" => %job);
+            self.parts.metrics.count("requests_dropped", 1);
+            return;
+        }
+        self.replies.insert(waiter, submission.reply);
         let (spec, route) = (submission.spec, submission.route);
         self.dispatcher
-            .submit(now, submission.waiter, spec, route, submission.wait_us);
+            .submit(now, waiter, spec, route, submission.wait_us);
     }
 
     fn end_session(&mut self, session: SessionId, cause: SessionEndCause) {
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -15,6 +15,7 @@
 //! - [`scheduling`]: scheduling features that the configuration enables.
 //! - [`losses`]: worker losses by task, and when a task is abandoned.
 //! - [`subset`]: the gates that an entry has sessions with.
+//! - [`callers`]: whether a caller is still connected.
 //! - [`message`], [`session`]: messages between entries and gates, and their transport;
 //!   [`suspension`] detects a suspended process, [`frame_counts`] counts frames by kind.
 //! - [`directory`]: discovery through the store; [`follower`] follows keys of the store,
@@ -24,6 +25,7 @@
 pub mod agent;
 mod answer_times;
 pub mod backoff;
+pub mod callers;
 pub mod directory;
 pub mod dispatcher;
 pub mod entry;
