Entry: check at intervals that callers are still connected

What callers saw: tasks of a job may run beside those of its next submission until the deadline of the first one.

Cause: the end of a caller's connection reaches the dispatcher only through the task that serves the connection. That task does not read on behind a request that it serves if bytes are there already (a pipelined request, a stray line end), so it never sees the end. After a pause of the process the loop may also decide about open and deferred jobs before that task has run.

Ruled out: that the gates' or the worker's timeouts end these runs; the entry is alive and renews them.

Change: each 45 ms the sockets of all callers that wait are checked with one poll(2), before anything is decided in a turn, and jobs without a caller are stopped. The interval is a term of the sum in `Limits` now, `caller_check + peer_timeout + lease * 1.02 + stop < resend`: 1,254 of 1,300 ms. It takes at most half of what the other terms leave, so that settings that were valid stay valid.

Conclusion: an order was decided at most 45 ms after its caller was seen connected.

--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{oneshot, watch};
 
-use crate::ephemeral::callers;
+use crate::ephemeral::callers::{self, Callers};
 use crate::ephemeral::directory::{self, GateChanges};
 use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
 use crate::ephemeral::follower::{Follower, WATCH_TIMEOUT, WatchedKeys};
@@ -77,6 +77,7 @@
     sessions: Sessions<ToGate, ToEntry>,
     dialer: Dialer,
     replies: HashMap<WaiterId, oneshot::Sender<Answer>>,
+    callers: Callers,
     status: Arc<Mutex<EntryStatus>>,
     table: watch::Sender<Arc<RouteTable>>,
     tx: UnboundedSender<Event>,
@@ -110,6 +111,7 @@
             sessions: Sessions::new(parts.timer.clone(), on_event),
             dialer: Dialer::default(),
             replies: HashMap::new(),
+            callers: Callers::default(),
             status,
             table,
             tx,
@@ -135,6 +137,7 @@
             let now = self.parts.timer.now();
             self.check_suspension(now);
             self.record_turn_delay(now);
+            self.remove_disconnected_callers(now);
             self.dispatcher.tick(now);
             if let Some(event) = event {
                 self.handle(now, event);
@@ -201,8 +204,7 @@
         match event {
             Event::Submit(submission) => self.submit(now, *submission),
             Event::WaiterGone(waiter, job) => {
-                self.replies.remove(&waiter);
-                self.dispatcher.remove_waiter(now, waiter, job);
+                self.remove_caller(now, waiter, job);
             }
             Event::Session(SessionEvent::Frame { session, frame }) => {
                 let age_us = self.sessions.age_us(now, session, frame.sent_us);
@@ -248,12 +250,29 @@
             self.parts.metrics.count("requests_dropped", 1);
             return;
         }
+        self.callers.insert(waiter, job, submission.socket);
         self.replies.insert(waiter, submission.reply);
         let (spec, route) = (submission.spec, submission.route);
         self.dispatcher
             .submit(now, waiter, spec, route, submission.wait_us);
     }
 
+    /// Stops the jobs whose callers have disconnected. Runs before anything is decided in a
+    /// turn of the loop, so that after a pause of this process nothing is started for a caller
+    /// that has left meanwhile.
+    fn remove_disconnected_callers(&mut self, now: Moment) {
+        let interval = self.parts.limits.caller_check;
+        for (waiter, job) in self.callers.take_disconnected(now, interval) {
+            self.remove_caller(now, waiter, job);
+        }
+    }
+
+    fn remove_caller(&mut self, now: Moment, waiter: WaiterId, job: JobId) {
+        self.replies.remove(&waiter);
+        self.callers.remove(waiter);
+        self.dispatcher.remove_waiter(now, waiter, job);
+    }
+
     fn end_session(&mut self, session: SessionId, cause: SessionEndCause) {
         cause.count(&self.parts.metrics);
         self.sessions.close(session);
@@ -342,6 +361,7 @@
                 }
                 DispatchAction::Redial(gate) => self.dialer.suspect_connection(&gate),
                 DispatchAction::Reply { waiter, answer } => {
+                    self.callers.remove(waiter);
                     if let Some(reply) = self.replies.remove(&waiter) {
                         let _ = reply.send(answer);
                     }
--- a/src/ephemeral/limits.rs
+++ b/src/ephemeral/limits.rs
@@ -1,12 +1,13 @@
 //! Timeouts that end a run before its job can be resent.
 //!
 //! A caller without an answer resends its job after `resend`. By then no run of the first
-//! submission may be active. In the worst case the owner stops sending, and the gate freezes
-//! just before its peer timeout. The run then ends with the worker's lease, measured on a
-//! possibly slow clock:
+//! submission may be active. In the worst case the caller leaves just after its entry has checked
+//! its connection, the entry stops just before the next check, and the gate freezes just before
+//! its peer timeout. The run then ends with the worker's lease, measured on a possibly slow
+//! clock:
 //!
 //! ```text
-//! peer_timeout + lease * MAX_CLOCK_SLOWDOWN + stop < resend
+//! caller_check + peer_timeout + lease * MAX_CLOCK_SLOWDOWN + stop < resend
 //! ```
 //!
 //! `tests/ephemeral_safety.rs` fails if one of the terms is removed.
@@ -20,6 +21,10 @@
 const PEER_TIMEOUT_FRACTION: f64 = 0.35;
 /// Lease as a fraction of the resend interval.
 const LEASE_FRACTION: f64 = 0.53;
+/// Caller check interval as a fraction of the resend interval.
+const CALLER_CHECK_FRACTION: f64 = 0.035;
+/// Largest share of the caller check in what the other terms leave of the resend interval.
+const CALLER_CHECK_SHARE: f64 = 0.5;
 /// Heartbeat intervals per peer timeout, so that two heartbeats may be lost.
 const HEARTBEATS_PER_PEER_TIMEOUT: u32 = 3;
 /// Heartbeat intervals without a frame before a second connection is opened. Above 1, as a turn
@@ -52,6 +57,8 @@
     /// How long a restarted gate waits for entries to claim the runs it finds; it does not
     /// renew the worker's lease meanwhile.
     pub claim_window: Duration,
+    /// Interval at which an entry checks that its callers are still connected.
+    pub caller_check: Duration,
     /// Lease of runs on the worker.
     pub lease: Duration,
     /// Longest lease that a worker grants.
@@ -68,6 +75,9 @@
     pub fn new(resend: Duration, max_lease: Duration, stop: Duration) -> Limits {
         let peer_timeout = resend.mul_f64(PEER_TIMEOUT_FRACTION).min(MAX_PEER_TIMEOUT);
         let heartbeat_interval = peer_timeout / HEARTBEATS_PER_PEER_TIMEOUT;
+        let lease = resend.mul_f64(LEASE_FRACTION).min(max_lease);
+        let orphan_time = peer_timeout + lease.mul_f64(MAX_CLOCK_SLOWDOWN) + stop;
+        let spare = resend.saturating_sub(orphan_time);
         Limits {
             heartbeat_interval,
             idle_heartbeat_interval: heartbeat_interval * IDLE_HEARTBEAT_FACTOR,
@@ -80,16 +90,20 @@
                 + peer_timeout,
             max_frame_age: peer_timeout / 2,
             claim_window: peer_timeout / 2,
-            lease: resend.mul_f64(LEASE_FRACTION).min(max_lease),
+            caller_check: resend
+                .mul_f64(CALLER_CHECK_FRACTION)
+                .min(spare.mul_f64(CALLER_CHECK_SHARE)),
+            lease,
             max_lease,
             stop,
             resend,
         }
     }
 
-    /// Longest time that a run continues after the last frame from its owner.
+    /// Longest time that a run continues after its caller has left, if its owner stops at the
+    /// same time.
     pub fn max_orphan_time(&self) -> Duration {
-        self.peer_timeout + self.lease.mul_f64(MAX_CLOCK_SLOWDOWN) + self.stop
+        self.caller_check + self.peer_timeout + self.lease.mul_f64(MAX_CLOCK_SLOWDOWN) + self.stop
     }
 
     /// Whether a run always ends before its job is resent.
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -15,7 +15,7 @@
 //! - [`scheduling`]: scheduling features that the configuration enables.
 //! - [`losses`]: worker losses by task, and when a task is abandoned.
 //! - [`subset`]: the gates that an entry has sessions with.
-//! - [`callers`]: whether a caller is still connected.
+//! - [`callers`]: callers that wait for an answer, and whether they are still connected.
 //! - [`message`], [`session`]: messages between entries and gates, and their transport;
 //!   [`suspension`] detects a suspended process, [`frame_counts`] counts frames by kind.
 //! - [`directory`]: discovery through the store; [`follower`] follows keys of the store,
