Entry: a caller that closed its side is not told that its job never runs

What callers saw: 503 "the entry stopped", which says that the job never runs, while its tasks ran. New with the check of callers at intervals.

Cause: a disconnected caller's reply channel was dropped, and the HTTP server takes a dropped channel for a job that was not run. A caller that has closed only its writing side still reads.

Change: the caller gets 502, outcome unknown, before its job is stopped; a request that is dropped before it is dispatched gets 503, not run, as before, with the true reason.

--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{oneshot, watch};
 
+use crate::code::{Effect, ResultCode};
 use crate::ephemeral::callers::{self, Callers};
 use crate::ephemeral::directory::{self, GateChanges};
 use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
@@ -33,6 +34,8 @@
 
 /// Interval of the dispatcher's ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
+/// Message of answers to callers that have disconnected.
+const CALLER_LEFT: &str = "its caller left";
 
 /// Parses configuration documents.
 pub trait ConfigReader: Send + Sync {
@@ -253,6 +256,8 @@
         if submission.reply.is_closed() || callers::is_disconnected(&submission.socket) {
             info!(self.parts.log, "request dropped: its caller has disconnected"; "job" => %job);
             self.parts.metrics.count("requests_dropped", 1);
+            let answer = Answer::not_run(ResultCode::Overloaded, CALLER_LEFT);
+            let _ = submission.reply.send(answer);
             return;
         }
         self.callers.insert(waiter, job, submission.socket);
@@ -273,8 +278,12 @@
     }
 
     fn remove_caller(&mut self, now: Moment, waiter: WaiterId, job: JobId) {
-        self.replies.remove(&waiter);
         self.callers.remove(waiter);
+        if let Some(reply) = self.replies.remove(&waiter) {
+            // A caller that has closed only its side may still read the answer.
+            let (code, effect) = (ResultCode::OutcomeUnknown, Effect::Unknown);
+            let _ = reply.send(Answer::failure(code, effect, CALLER_LEFT));
+        }
         self.dispatcher.remove_waiter(now, waiter, job);
     }
 
