--- a/src/ephemeral/callers.rs
+++ b/src/ephemeral/callers.rs
@@ -19,6 +19,16 @@
 /// Socket of a caller.
 pub type CallerSocket = Arc<dyn AsFd + Send + Sync>;
 
+/// What is known of a caller when its request is submitted.
+pub struct CallerRequest {
+    /// Its connection.
+    pub socket: CallerSocket,
+    /// When the head of its request was read.
+    pub received: Moment,
+    /// How long the caller waits from then on.
+    pub wait: Duration,
+}
+
 /// Socket states in which the caller reads no answer any more.
 const DISCONNECTED: PollFlags = PollFlags::RDHUP
     .union(PollFlags::HUP)
--- a/src/ephemeral/entry/handle.rs
+++ b/src/ephemeral/entry/handle.rs
@@ -10,13 +10,13 @@
 
 use super::Event;
 use crate::code::ResultCode;
-use crate::ephemeral::callers::CallerSocket;
+use crate::ephemeral::callers::CallerRequest;
 use crate::ephemeral::dispatcher::WaiterId;
 use crate::ephemeral::job::{JobId, JobSpec};
 use crate::ephemeral::routes::{Route, RouteTable};
 use crate::message::Answer;
 use crate::metrics::Metrics;
-use crate::time::{Timer, micros};
+use crate::time::Timer;
 
 /// Longest wait of a request for the first configuration; short enough to reject the job within
 /// its latency objective.
@@ -27,9 +27,7 @@
     pub waiter: WaiterId,
     pub spec: JobSpec,
     pub route: Arc<Route>,
-    pub wait_us: u64,
-    /// Connection that waits for the answer.
-    pub socket: CallerSocket,
+    pub caller: CallerRequest,
     pub reply: oneshot::Sender<Answer>,
 }
 
@@ -109,15 +107,8 @@
         let _ = self.events.send(Event::Leave);
     }
 
-    /// Runs a job for the caller on `socket`, who waits `wait` for the answer. Dropping the
-    /// future counts as a disconnect of the caller.
-    pub async fn submit(
-        &self,
-        spec: JobSpec,
-        route: Arc<Route>,
-        wait: Duration,
-        socket: CallerSocket,
-    ) -> Answer {
+    /// Runs a job. Dropping the future counts as a disconnect of the caller.
+    pub async fn submit(&self, spec: JobSpec, route: Arc<Route>, caller: CallerRequest) -> Answer {
         let number = self.waiters.fetch_add(1, Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
         let mut guard = WaiterGuard {
@@ -130,8 +121,7 @@
             waiter: WaiterId(number),
             spec,
             route,
-            wait_us: micros(wait),
-            socket,
+            caller,
             reply,
         };
         let _ = self.events.send(Event::Submit(Box::new(submission)));
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -36,6 +36,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Message of answers to callers that have disconnected.
 const CALLER_LEFT: &str = "its caller left";
+/// Message of answers to callers whose deadline passes before their job is dispatched.
+const DEADLINE_PASSED: &str = "its deadline passed before it began";
 
 /// Parses configuration documents.
 pub trait ConfigReader: Send + Sync {
@@ -253,18 +255,28 @@
     /// job to another entry meanwhile.
     fn submit(&mut self, now: Moment, submission: Submission) {
         let (waiter, job) = (submission.waiter, submission.spec.id);
-        if submission.reply.is_closed() || callers::is_disconnected(&submission.socket) {
+        let caller = submission.caller;
+        if submission.reply.is_closed() || callers::is_disconnected(&caller.socket) {
             info!(self.parts.log, "request dropped: its caller has disconnected"; "job" => %job);
             self.parts.metrics.count("requests_dropped", 1);
             let answer = Answer::not_run(ResultCode::Overloaded, CALLER_LEFT);
             let _ = submission.reply.send(answer);
             return;
         }
-        self.callers.insert(waiter, job, submission.socket);
+        let deadline_us = caller.received.after(caller.wait);
+        if deadline_us <= now.mono_us {
+            info!(self.parts.log, "request dropped: its deadline has passed"; "job" => %job,
+                "age_us" => now.mono_us - caller.received.mono_us);
+            self.parts.metrics.count("requests_dropped", 1);
+            let answer = Answer::not_run(ResultCode::Overloaded, DEADLINE_PASSED);
+            let _ = submission.reply.send(answer);
+            return;
+        }
+        self.callers.insert(waiter, job, caller.socket);
         self.replies.insert(waiter, submission.reply);
         let (spec, route) = (submission.spec, submission.route);
         self.dispatcher
-            .submit(now, waiter, spec, route, submission.wait_us);
+            .submit(now, waiter, spec, route, deadline_us - now.mono_us);
     }
 
     /// Stops the jobs whose callers have disconnected. Runs before anything is decided in a
