Entry: a request that may have been resent waits for the end of its connection

What callers saw: tasks of a job on two workers at once, without any paused process: a cut between caller and entry holds a request back until its caller has left and resent the job (suspected; the record does not show cuts).

Cause: the end of the connection is a segment of its own. Behind a request that a kernel or a proxy delivers late it arrives up to a round trip later, so the check at dispatch finds the caller connected.

Ruled out: bounding the age by the entry's own clock alone. What an entry knows is that a request is no older than its connection, or than the previous answer on it.

Change: a request that may be older than `resend` by that bound is dispatched 10 ms later, after a round trip, so that the end of its connection is there if its caller has left.

Conclusion: not covered is an end of the connection that comes later than 10 ms behind the request, or never (it was lost as well, or the caller's machine is gone). Then the job ends with its deadline, counted from the request's arrival.

--- a/src/ephemeral/callers.rs
+++ b/src/ephemeral/callers.rs
@@ -27,6 +27,17 @@
     pub received: Moment,
     /// How long the caller waits from then on.
     pub wait: Duration,
+    /// Longest time that the request may have been in transit: the time since its connection was
+    /// accepted or carried the previous answer.
+    pub max_transit: Duration,
+}
+
+impl CallerRequest {
+    /// Whether the caller may have left and resent its job, `resend` later, before this request
+    /// arrived.
+    pub fn may_be_resent(&self, resend: Duration) -> bool {
+        self.max_transit >= resend
+    }
 }
 
 /// Socket states in which the caller reads no answer any more.
--- a/src/ephemeral/entry/handle.rs
+++ b/src/ephemeral/entry/handle.rs
@@ -22,6 +22,10 @@
 /// its latency objective.
 const FIRST_CONFIG_TIMEOUT: Duration = Duration::from_millis(35);
 
+/// Delay of a request whose caller may have left before it arrived. A network that held the
+/// request back delivers the end of the connection up to a round trip later.
+const LATE_REQUEST_DELAY: Duration = Duration::from_millis(10);
+
 /// A submitted job on its way to the dispatcher.
 pub(super) struct Submission {
     pub waiter: WaiterId,
@@ -46,6 +50,8 @@
     pub(super) status: Arc<Mutex<EntryStatus>>,
     pub(super) table: watch::Receiver<Arc<RouteTable>>,
     pub(super) waiters: Arc<AtomicU64>,
+    /// Interval after which a caller resends a job.
+    pub(super) resend: Duration,
     /// Clock and timers.
     pub timer: Timer,
     /// Sink for metrics.
@@ -109,6 +115,9 @@
 
     /// Runs a job. Dropping the future counts as a disconnect of the caller.
     pub async fn submit(&self, spec: JobSpec, route: Arc<Route>, caller: CallerRequest) -> Answer {
+        if caller.may_be_resent(self.resend) {
+            self.timer.sleep(LATE_REQUEST_DELAY).await;
+        }
         let number = self.waiters.fetch_add(1, Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
         let mut guard = WaiterGuard {
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -108,6 +108,7 @@
             status: status.clone(),
             table: table_rx,
             waiters: Arc::default(),
+            resend: parts.limits.resend,
             timer: parts.timer.clone(),
             metrics: parts.metrics.clone(),
             log: parts.log.clone(),
