Gate: runs of a deregistered worker end when it has ended

What was missing: no caller is known to have seen it; found by reading, then by a test. A task ran at the deregistered worker and, at the same time, at another one.

Cause: `worker_left` reported all runs as stopped when the deregistration arrived. A worker sends it while it is up, with its runs, and ends after the acknowledgement; without one it ends some seconds later. The entry starts the tasks elsewhere at once.

Ruled out: waiting for the lease in all cases (703 ms with the limits of the tests). The calls of the gate go on, so the refused connection after the end shows it sooner.

Change: while the worker may have runs, a deregistration only marks it as leaving: nothing more is started or queued there. Its runs end with their own ends, or when its address refuses connections, another incarnation answers or its lease expires. A worker without runs is dropped at once, as before.

Conclusion: the worker's own announcement does not end its runs any more. Not measured on real processes: how much later a task of a worker that leaves is started elsewhere.

--- a/src/ephemeral/gate/worker_incarnations.rs
+++ b/src/ephemeral/gate/worker_incarnations.rs
@@ -12,7 +12,7 @@
 
 use super::health::Health;
 use super::incarnation::Incarnation;
-use super::{Gate, GateAction, STOP_RETRY_DELAY};
+use super::{Gate, GateAction, Run, STOP_RETRY_DELAY};
 use crate::ephemeral::directory::WorkerRecord;
 use crate::ephemeral::job::RunId;
 use crate::ephemeral::message::{NotRunReason, RunEnd};
@@ -101,10 +101,17 @@
         if report.leaving && !incarnation.leaving {
             info!(self.log, "worker is leaving"; "worker" => %report.id,
                 "leaves_in_ms" => report.leaves_in_ms);
+            self.mark_leaving(now);
+        }
+    }
+
+    /// Starts nothing more on the current incarnation; its runs continue.
+    fn mark_leaving(&mut self, now: Moment) {
+        if let Some(incarnation) = &mut self.incarnation {
             incarnation.leaving = true;
-            self.load_changed = true;
-            self.refuse_queued(now, NotRunReason::Leaving);
         }
+        self.load_changed = true;
+        self.refuse_queued(now, NotRunReason::Leaving);
     }
 
     /// Handles a report of an incarnation other than the current one. Adopts it and returns
@@ -231,7 +238,9 @@
         self.load_changed = true;
     }
 
-    /// Handles a worker's announcement that it ends.
+    /// Handles a worker's announcement that it ends. Its runs continue until it has ended, which
+    /// may be seconds later if the acknowledgement is lost. They are therefore kept until its
+    /// address refuses connections, another incarnation answers or its lease expires.
     pub fn worker_left(&mut self, now: Moment, id: &WorkerId) {
         if self.lacks_start_time(id) {
             // It may concern an earlier incarnation; the next poll shows whether it does.
@@ -239,11 +248,27 @@
             return;
         }
         self.mark_past(id);
-        if self.is_current(id) {
+        if !self.is_current(id) {
+            return;
+        }
+        if self.may_have_runs() {
+            info!(self.log, "worker deregistered with runs"; "worker" => %id,
+                "runs" => self.runs.len());
+            self.mark_leaving(now);
+            self.check_wanted = true;
+        } else {
             self.end_incarnation(now, IncarnationEnd::Left);
         }
     }
 
+    /// Whether the current incarnation may have runs.
+    fn may_have_runs(&self) -> bool {
+        let incarnation = self.incarnation.as_ref();
+        incarnation.is_some_and(|incarnation| !incarnation.listed)
+            || !self.unclaimed.is_empty()
+            || self.runs.values().any(Run::is_dispatched)
+    }
+
     /// Ends the current incarnation, and ends or carries over its runs.
     pub(super) fn end_incarnation(&mut self, now: Moment, end: IncarnationEnd) {
         let Some(incarnation) = self.incarnation.take() else {
--- a/tests/ephemeral_fleet/crashes.rs
+++ b/tests/ephemeral_fleet/crashes.rs
@@ -46,11 +46,21 @@
     crash: TaskCrash,
 }
 
+/// The announced end of a worker.
+#[derive(Debug)]
+struct PendingDeparture {
+    at_us: u64,
+    worker: usize,
+    worker_id: WorkerId,
+    outage_us: u64,
+}
+
 /// Scheduled and past crashes.
 #[derive(Debug, Default)]
 pub struct Crashes {
     task_crashes: HashMap<JobId, TaskCrash>,
     pending: Vec<PendingCrash>,
+    departures: Vec<PendingDeparture>,
     /// Number of crashes that each task caused.
     caused: HashMap<(JobId, u32), u32>,
     /// Number of crashes while each task ran, whatever the cause.
@@ -119,6 +129,25 @@
             .insert(index, self.now_us + outage_us);
     }
 
+    /// Announces the end of a worker to its gate. The worker continues its runs for `lives_us`,
+    /// then ends and refuses connections; another one takes its place after `outage_us`.
+    pub fn deregister_worker(&mut self, index: usize, lives_us: u64, outage_us: u64) {
+        let now = self.gate_moment(index);
+        let worker_id = self.workers[index].id.clone();
+        if !self.workers[index].up {
+            return;
+        }
+        if let Some(process) = &mut self.gates[index] {
+            process.gate.worker_left(now, &worker_id);
+        }
+        self.crashes.departures.push(PendingDeparture {
+            at_us: self.now_us + lives_us,
+            worker: index,
+            worker_id,
+            outage_us,
+        });
+    }
+
     /// Notes a fault of a gate that lasts for `for_us`.
     pub fn disturb_gate(&mut self, gate: usize, for_us: u64) {
         let until_us = self.crashes.disturbed_until_us.entry(gate).or_default();
@@ -171,6 +200,7 @@
         for (index, _) in restarted {
             self.workers[index].up = true;
         }
+        self.end_departed_workers();
         let due: Vec<PendingCrash> = self
             .crashes
             .pending
@@ -185,4 +215,18 @@
             }
         }
     }
+
+    fn end_departed_workers(&mut self) {
+        let now_us = self.now_us;
+        let due: Vec<PendingDeparture> = self
+            .crashes
+            .departures
+            .extract_if(.., |due| due.at_us <= now_us)
+            .collect();
+        for due in due {
+            if self.workers[due.worker].id == due.worker_id {
+                self.take_down(due.worker, Outage::Refuses, due.outage_us);
+            }
+        }
+    }
 }
--- a/tests/ephemeral_worker_life.rs
+++ b/tests/ephemeral_worker_life.rs
@@ -2,10 +2,12 @@
 
 mod gate_bench;
 
+use std::time::Duration;
+
 use gate_bench::*;
 use winghold::ephemeral::gate::GateAction;
 use winghold::ephemeral::message::{NotRunReason, RunEnd, ToGate};
-use winghold::ephemeral::worker::{StartReply, WorkerCallError, WorkerEnd, WorkerReport};
+use winghold::ephemeral::worker::{PollCall, StartReply, WorkerCallError, WorkerEnd, WorkerReport};
 
 #[test]
 fn unresponsive_worker_gets_no_starts_and_its_runs_end_with_their_lease() {
@@ -140,6 +142,65 @@
     assert_eq!(bench.last_load().worker, None);
 }
 
+/// Fails a check, or the regular poll, before its timeout.
+fn fail_poll(bench: &mut Bench, check: bool, error: WorkerCallError) {
+    let call = PollCall {
+        worker: Some(bench.worker()),
+        fence: Some(FENCE),
+        lease_until_ms: None,
+        acked_end: 0,
+        wait_ms: 50,
+        timeout: Duration::from_millis(25),
+        retry_delay: Duration::from_millis(20),
+        check,
+    };
+    let sent = bench.now;
+    bench.gate.poll_failed(bench.now, true);
+    bench.gate.poll_answered(bench.now, sent, &call, Err(error));
+    bench.collect();
+}
+
+/// A worker announces its end before its runs have ended. They must not be reported as ended
+/// while they may continue.
+#[test]
+fn runs_of_a_deregistered_worker_end_once_it_refuses_connections() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    bench.order(run(2), 600, 100);
+    bench.gate.worker_left(bench.now, &"w".into());
+    bench.advance(5);
+    bench.order(run(3), 100, 100);
+    let leaving = RunEnd::NotRun(NotRunReason::Leaving);
+    assert_eq!(bench.ends(), [(run(2), leaving), (run(3), leaving)]);
+    bench.list_runs(vec![(run(1), 50)], Vec::new());
+    bench.gate.worker_report(bench.now, report("w", false, 50));
+    bench.advance(20);
+    assert_eq!(bench.ends().len(), 2, "the worker still runs it");
+    assert_eq!(bench.last_load().free.cpu_milli, 0);
+    fail_poll(&mut bench, false, WorkerCallError::Refused);
+    assert_eq!(bench.ends()[2..], [(run(1), RunEnd::Stopped)]);
+    bench.gate.worker_report(bench.now, report("w", false, 51));
+    bench.advance(20);
+    assert_eq!(bench.last_load().worker, None, "it is not adopted again");
+}
+
+/// A deregistered worker may end without refusing connections, as its machine may end with it.
+#[test]
+fn runs_of_a_silent_deregistered_worker_end_with_their_lease() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    bench.gate.worker_left(bench.now, &"w".into());
+    for _ in 0..7 {
+        bench.gate.frame_received(bench.now, ENTRY);
+        bench.advance(100);
+        assert!(bench.ends().is_empty());
+    }
+    bench.advance(100);
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+}
+
 #[test]
 fn incarnation_without_a_run_list_is_replaced_by_the_one_that_reports() {
     let mut bench = Bench::without_run_list();
