Gate: a refused connection does not end a worker whose poll is answered

What was missing: no caller is known to have seen it; found by reading, then by a test. A worker that refused one new connection while its runs went on had all of them started elsewhere.

Cause: each refused start, stop or poll ended the incarnation with all its runs, also while the poll that the gate keeps open was about to be answered. The next heartbeat brought the same incarnation back, and the gate stopped what it listed.

Ruled out: waiting for the lease (703 ms with the limits of the tests) after each refused connection, as crashes are common; and a second refused connection, as a closed listening socket refuses that as well.

Change: while the regular poll is open or was just answered, a refused connection is only noted. The worker has ended if the connection of that poll breaks as well, or if a regular poll is itself refused. A start whose first attempt is refused is reported as not run; one that was repeated is stopped. A worker without runs is given up at the first refused connection, as before.

Seven tests of ephemeral_losses played a crash by one refused stop while the poll stayed open. That is now a worker that may be alive, so they call `crash`: a refused stop, the broken poll and the refused poll, at the same moment.

Conclusion: what ends a worker's runs is now that neither its open connection nor a new one works. A process that lives on with its runs but without any socket would still be taken for ended.

--- a/src/ephemeral/gate/answers.rs
+++ b/src/ephemeral/gate/answers.rs
@@ -5,7 +5,6 @@
 use slog::{debug, info, warn};
 
 use super::restart::AnsweredBy;
-use super::worker_incarnations::IncarnationEnd;
 use super::{Gate, GateAction, RunState, StopCause};
 use crate::ephemeral::job::RunId;
 use crate::ephemeral::message::{NotRunReason, RunEnd, ToEntry};
@@ -88,7 +87,8 @@
                 self.check_wanted = true
             }
             Err(WorkerCallError::Refused) => {
-                self.end_incarnation(now, IncarnationEnd::NothingListens)
+                self.connection_refused(now);
+                self.end_refused_start(now, run);
             }
             Err(err) if starting => {
                 info!(self.log, "start failed"; "run" => %run, "error" => %err);
@@ -98,6 +98,21 @@
         }
     }
 
+    /// Ends a run whose start was refused while the worker may be alive.
+    fn end_refused_start(&mut self, now: Moment, run: RunId) {
+        let Some(record) = self.runs.get(&run) else {
+            return;
+        };
+        match record.state {
+            RunState::Starting { resent: 0, .. } => {
+                self.end(now, run, RunEnd::NotRun(NotRunReason::NoWorker));
+            }
+            // An earlier attempt may have succeeded.
+            RunState::Starting { .. } => self.stop(now, run, StopCause::Unanswered),
+            _ => {}
+        }
+    }
+
     /// Updates the worker's clock from an answer to a start. A clock that reads less than
     /// expected belongs to a later incarnation of the same name.
     fn check_clock(&mut self, now: Moment, answer: StartAnswer) -> StartAnswer {
@@ -146,9 +161,7 @@
                 }
             }
             Err(WorkerCallError::OtherIncarnation) => self.check_wanted = true,
-            Err(WorkerCallError::Refused) => {
-                self.end_incarnation(now, IncarnationEnd::NothingListens)
-            }
+            Err(WorkerCallError::Refused) => self.connection_refused(now),
             Err(err) => {
                 debug!(self.log, "stop failed"; "run" => %run, "error" => %err);
                 self.retry_stop(now, run);
@@ -197,6 +210,7 @@
         };
         if !self.poll_pending {
             self.poll_pending = true;
+            incarnation.poll_open = true;
             let call = PollCall {
                 worker: Some(incarnation.id()),
                 fence: incarnation.fence,
@@ -246,6 +260,12 @@
             Some(AnsweredBy::Unknown) => Err(WorkerCallError::Protocol),
             _ => answer,
         };
+        if let Some(incarnation) = &mut self.incarnation
+            && !call.check
+        {
+            incarnation.poll_open = answer.is_ok();
+            incarnation.refused &= answer.is_err();
+        }
         self.record_answer(now, answer.is_ok());
         self.missed_polls = match answer.is_ok() {
             true => 0,
@@ -262,9 +282,7 @@
                 self.apply_listing(now, sent, call, reply);
             }
             Err(WorkerCallError::OtherIncarnation) => self.end_replaced_incarnation(now),
-            Err(WorkerCallError::Refused) => {
-                self.end_incarnation(now, IncarnationEnd::NothingListens)
-            }
+            Err(WorkerCallError::Refused) => self.connection_refused(now),
             Err(err) => warn!(self.log, "poll failed"; "error" => %err),
         }
     }
--- a/src/ephemeral/gate/incarnation.rs
+++ b/src/ephemeral/gate/incarnation.rs
@@ -48,6 +48,10 @@
     fence_rejections: u32,
     /// Whether its runs were listed under the current fencing token.
     pub listed: bool,
+    /// Whether the last regular poll was answered or may still be.
+    pub poll_open: bool,
+    /// Whether a connection was refused since a regular poll was last answered.
+    pub refused: bool,
     /// Lower bound of the worker's clock at `clock_at_us`, in milliseconds.
     clock_ms: f64,
     /// Time of the last update of `clock_ms`, in monotonic microseconds.
@@ -69,6 +73,8 @@
             fence: None,
             fence_rejections: 0,
             listed: false,
+            poll_open: false,
+            refused: false,
             clock_ms: 0.0,
             clock_at_us: now.mono_us,
             // A previous process may have renewed the lease until now.
--- a/src/ephemeral/gate/losses.rs
+++ b/src/ephemeral/gate/losses.rs
@@ -229,6 +229,10 @@
         if disconnected {
             self.poll_disconnected_us.get_or_insert(now.mono_us);
         }
+        // A check may have failed instead of the regular poll.
+        if !self.check_pending {
+            self.poll_broken(now, disconnected);
+        }
     }
 
     /// Restores the losses recorded by a previous gate on this machine.
--- a/src/ephemeral/gate/worker_incarnations.rs
+++ b/src/ephemeral/gate/worker_incarnations.rs
@@ -269,6 +269,35 @@
             || self.runs.values().any(Run::is_dispatched)
     }
 
+    /// Handles a refused connection. The worker may have closed its listening socket while its
+    /// runs continue; if it has ended, the connection of the open poll breaks as well.
+    pub(super) fn connection_refused(&mut self, now: Moment) {
+        let has_runs = self.may_have_runs();
+        match &mut self.incarnation {
+            Some(incarnation) if incarnation.poll_open && has_runs => {
+                if !std::mem::replace(&mut incarnation.refused, true) {
+                    info!(self.log, "connection refused while the poll is open";
+                        "worker" => %incarnation.traits.id);
+                }
+                // A check would be refused as well.
+                self.check_wanted = false;
+            }
+            _ => self.end_incarnation(now, IncarnationEnd::NothingListens),
+        }
+    }
+
+    /// Handles the failure of the regular poll. The worker has ended if its connection broke
+    /// and another one was refused.
+    pub(super) fn poll_broken(&mut self, now: Moment, disconnected: bool) {
+        let Some(incarnation) = &mut self.incarnation else {
+            return;
+        };
+        incarnation.poll_open = false;
+        if disconnected && incarnation.refused {
+            self.end_incarnation(now, IncarnationEnd::NothingListens);
+        }
+    }
+
     /// Ends the current incarnation, and ends or carries over its runs.
     pub(super) fn end_incarnation(&mut self, now: Moment, end: IncarnationEnd) {
         let Some(incarnation) = self.incarnation.take() else {
--- a/tests/ephemeral_fleet/crashes.rs
+++ b/tests/ephemeral_fleet/crashes.rs
@@ -129,6 +129,11 @@
             .insert(index, self.now_us + outage_us);
     }
 
+    /// Makes a worker refuse new connections for `for_us` while its runs continue.
+    pub fn refuse_new_connections(&mut self, index: usize, for_us: u64) {
+        self.workers[index].refuses_new_until_us = self.now_us + for_us;
+    }
+
     /// Announces the end of a worker to its gate. The worker continues its runs for `lives_us`,
     /// then ends and refuses connections; another one takes its place after `outage_us`.
     pub fn deregister_worker(&mut self, index: usize, lives_us: u64, outage_us: u64) {
--- a/tests/ephemeral_fleet/worker.rs
+++ b/tests/ephemeral_fleet/worker.rs
@@ -25,6 +25,9 @@
     pub up: bool,
     /// Whether connections are refused while it is down; else they get no answer.
     pub refuses: bool,
+    /// Until then new connections are refused although it is up. The regular poll uses a
+    /// connection that stays open.
+    pub refuses_new_until_us: u64,
     /// Until then orders are not carried out and get no answer.
     pub unresponsive_until_us: u64,
     /// Whether its runs make no progress.
@@ -47,6 +50,7 @@
             clock_started_us: 0,
             up: true,
             refuses: false,
+            refuses_new_until_us: 0,
             unresponsive_until_us: 0,
             hung: false,
             capacity,
--- a/tests/ephemeral_losses.rs
+++ b/tests/ephemeral_losses.rs
@@ -4,6 +4,7 @@
 mod gate_bench;
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use dispatcher_bench::{Bench as EntryBench, cpu, job, load};
 use gate_bench::{Bench as GateBench, MS, process, report, run};
@@ -15,7 +16,7 @@
 use winghold::ephemeral::losses::{AbandonedTask, LossLog, WorkerLoss};
 use winghold::ephemeral::message::{GateLoad, NotRunReason, RunEnd, ToEntry, ToGate, WorkerTraits};
 use winghold::ephemeral::session::SessionId;
-use winghold::ephemeral::worker::{StartReply, WorkerCallError, WorkerEnd};
+use winghold::ephemeral::worker::{PollCall, StartReply, WorkerCallError, WorkerEnd};
 use winghold::time::Moment;
 
 /// A loss during a run, which is its likely cause or not.
@@ -66,10 +67,81 @@
     bench
 }
 
+/// Ends the worker: a new connection is refused, the one of the poll breaks, and the next poll
+/// is refused.
+fn crash(bench: &mut GateBench) {
+    bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+    bench.gate.poll_failed(bench.now, true);
+    let call = PollCall {
+        worker: Some("w".into()),
+        fence: Some(gate_bench::FENCE),
+        lease_until_ms: None,
+        acked_end: 0,
+        wait_ms: 50,
+        timeout: Duration::from_millis(25),
+        retry_delay: Duration::from_millis(20),
+        check: false,
+    };
+    let refused = Err(WorkerCallError::Refused);
+    bench
+        .gate
+        .poll_answered(bench.now, bench.now, &call, refused);
+    bench.collect();
+}
+
+/// The worker may have closed its listening socket while its runs continue.
 #[test]
-fn worker_that_refuses_connections_is_lost_during_its_runs() {
+fn worker_that_answers_polls_and_refuses_other_connections_is_not_lost() {
     let mut bench = gate_with_run(10);
     bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+    bench.order(run(2), 100, 100);
+    bench.answer_start(run(2), Err(WorkerCallError::Refused));
+    bench.advance(10);
+    bench.list_runs(vec![(run(1), 20)], Vec::new());
+    let not_started = RunEnd::NotRun(NotRunReason::NoWorker);
+    assert_eq!(bench.ends(), [(run(2), not_started)]);
+    assert!(reported_losses(&bench).is_empty() && stored_losses(&bench).is_empty());
+    bench.gate.poll_failed(bench.now, true);
+    bench.collect();
+    assert_eq!(bench.ends().len(), 1, "the refusals were before the answer");
+    bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+    assert!(bench.ends().contains(&(run(1), RunEnd::Stopped)));
+    assert_eq!(reported_losses(&bench), [loss(1, "w", true)]);
+}
+
+/// A repeated start may have been carried out at an earlier attempt.
+#[test]
+fn repeated_start_that_is_refused_is_not_reported_as_not_run() {
+    let mut bench = gate_with_run(10);
+    bench.order(run(2), 100, 100);
+    bench.answer_start(run(2), Err(WorkerCallError::Unanswered));
+    bench.answer_start(run(2), Err(WorkerCallError::Refused));
+    assert_eq!(bench.ends(), []);
+    assert_eq!(bench.stops(), [run(2)]);
+}
+
+/// Callers of the lost runs gain from an end that is reported at once.
+#[test]
+fn worker_is_lost_at_once_if_its_poll_breaks_and_a_connection_is_refused() {
+    for refused_first in [true, false] {
+        let mut bench = gate_with_run(10);
+        if refused_first {
+            bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+        }
+        bench.gate.poll_failed(bench.now, true);
+        bench.collect();
+        if !refused_first {
+            bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+        }
+        assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+        assert_eq!(reported_losses(&bench), [loss(1, "w", true)]);
+    }
+}
+
+#[test]
+fn worker_that_refuses_connections_is_lost_during_its_runs() {
+    let mut bench = gate_with_run(10);
+    crash(&mut bench);
     assert_eq!(reported_losses(&bench), [loss(1, "w", true)]);
     assert_eq!(stored_losses(&bench), [loss(1, "w", true)]);
     let is_loss_report = |action: &GateAction| {
@@ -100,7 +172,7 @@
 #[test]
 fn loss_late_in_a_run_is_not_a_likely_cause() {
     let mut bench = gate_with_run(30);
-    bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+    crash(&mut bench);
     assert_eq!(reported_losses(&bench), [loss(1, "w", false)]);
 }
 
@@ -119,7 +191,7 @@
     let mut bench = gate_with_run(10);
     bench.gate.worker_report(bench.now, report("w", true, 2));
     bench.collect();
-    bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+    crash(&mut bench);
     assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
     assert!(reported_losses(&bench).is_empty() && stored_losses(&bench).is_empty());
     let mut bench = gate_with_run(10);
@@ -157,6 +229,7 @@
     bench.order(run(3), 100, 100);
     bench.answer_start(run(3), Err(WorkerCallError::Unanswered));
     bench.answer_start(run(2), Err(WorkerCallError::Refused));
+    crash(&mut bench);
     let losses = reported_losses(&bench);
     assert!(losses.contains(&loss(1, "w", true)), "{losses:?}");
     assert!(losses.iter().all(|loss| loss.job != JobId(2)), "{losses:?}");
@@ -175,7 +248,7 @@
     ] {
         let mut bench = GateBench::ready();
         bench.order(run(2), 100, 100);
-        bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+        crash(&mut bench);
         assert!(reported_losses(&bench).is_empty());
         bench.answer_start(run(2), answer);
         assert_eq!(reported_losses(&bench), losses, "{answer:?}");
@@ -190,7 +263,7 @@
     bench.order(run(2), 100, 100);
     bench.answer_start(run(2), Ok(StartReply::Running));
     bench.advance(5);
-    bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+    crash(&mut bench);
     assert_eq!(
         reported_losses(&bench),
         [loss(1, "w", false), loss(2, "w", true)]
@@ -301,7 +374,7 @@
 #[test]
 fn run_that_may_have_ended_is_a_possible_loss() {
     let mut bench = gate_with_run(34);
-    bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+    crash(&mut bench);
     assert_eq!(reported_losses(&bench), [possible(1, "w")]);
 }
 
