Gate: an unanswered poll is no broken connection

What was missing: no caller is known to have seen it; found by a new property.

Cause: a poll that timed out counted like one whose connection broke. Single messages get lost; only a connection that breaks before the timeout, or a refused poll, shows that the worker ended.

Change: an unanswered poll leaves the decision to the next one.

Tests: a property of workers that deregister, refuse new connections, crash, fall silent, lose orders and have their gates killed, frozen or cut (tests/ephemeral_ending_workers.rs), and one test in tests/ephemeral_losses.rs. Now both pass, the property with 1,500 cases.

Conclusion: holds for the ways that the property plays.

--- a/src/ephemeral/gate/answers.rs
+++ b/src/ephemeral/gate/answers.rs
@@ -263,7 +263,7 @@
         if let Some(incarnation) = &mut self.incarnation
             && !call.check
         {
-            incarnation.poll_open = answer.is_ok();
+            incarnation.poll_open &= answer != Err(WorkerCallError::Refused);
             incarnation.refused &= answer.is_err();
         }
         self.record_answer(now, answer.is_ok());
--- a/src/ephemeral/gate/incarnation.rs
+++ b/src/ephemeral/gate/incarnation.rs
@@ -48,7 +48,7 @@
     fence_rejections: u32,
     /// Whether its runs were listed under the current fencing token.
     pub listed: bool,
-    /// Whether the last regular poll was answered or may still be.
+    /// Whether the connection of the last regular poll is not known to be broken.
     pub poll_open: bool,
     /// Whether a connection was refused since a regular poll was last answered.
     pub refused: bool,
--- a/src/ephemeral/gate/losses.rs
+++ b/src/ephemeral/gate/losses.rs
@@ -228,10 +228,10 @@
         self.poll_failed_us.get_or_insert(now.mono_us);
         if disconnected {
             self.poll_disconnected_us.get_or_insert(now.mono_us);
-        }
-        // A check may have failed instead of the regular poll.
-        if !self.check_pending {
-            self.poll_broken(now, disconnected);
+            // A check may have failed instead of the regular poll.
+            if !self.check_pending {
+                self.poll_broken(now);
+            }
         }
     }
 
--- a/src/ephemeral/gate/worker_incarnations.rs
+++ b/src/ephemeral/gate/worker_incarnations.rs
@@ -286,14 +286,14 @@
         }
     }
 
-    /// Handles the failure of the regular poll. The worker has ended if its connection broke
-    /// and another one was refused.
-    pub(super) fn poll_broken(&mut self, now: Moment, disconnected: bool) {
+    /// Handles the broken connection of the regular poll. The worker has ended if another one
+    /// was refused.
+    pub(super) fn poll_broken(&mut self, now: Moment) {
         let Some(incarnation) = &mut self.incarnation else {
             return;
         };
         incarnation.poll_open = false;
-        if disconnected && incarnation.refused {
+        if incarnation.refused {
             self.end_incarnation(now, IncarnationEnd::NothingListens);
         }
     }
--- a/tests/ephemeral_losses.rs
+++ b/tests/ephemeral_losses.rs
@@ -67,11 +67,8 @@
     bench
 }
 
-/// Ends the worker: a new connection is refused, the one of the poll breaks, and the next poll
-/// is refused.
-fn crash(bench: &mut GateBench) {
-    bench.answer_stop(run(9), Err(WorkerCallError::Refused));
-    bench.gate.poll_failed(bench.now, true);
+/// Fails the regular poll.
+fn fail_poll(bench: &mut GateBench, error: WorkerCallError) {
     let call = PollCall {
         worker: Some("w".into()),
         fence: Some(gate_bench::FENCE),
@@ -82,13 +79,32 @@
         retry_delay: Duration::from_millis(20),
         check: false,
     };
-    let refused = Err(WorkerCallError::Refused);
-    bench
-        .gate
-        .poll_answered(bench.now, bench.now, &call, refused);
+    let (now, error) = (bench.now, Err(error));
+    bench.gate.poll_answered(now, now, &call, error);
     bench.collect();
 }
 
+/// Ends the worker: a new connection is refused, the one of the poll breaks, and the next poll
+/// is refused.
+fn crash(bench: &mut GateBench) {
+    bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+    bench.gate.poll_failed(bench.now, true);
+    fail_poll(bench, WorkerCallError::Refused);
+}
+
+/// A single poll may be lost while the worker is alive.
+#[test]
+fn worker_that_refuses_connections_is_not_lost_with_an_unanswered_poll() {
+    let mut bench = gate_with_run(10);
+    bench.gate.poll_failed(bench.now, false);
+    bench.answer_stop(run(9), Err(WorkerCallError::Refused));
+    fail_poll(&mut bench, WorkerCallError::Unanswered);
+    assert_eq!(bench.ends(), []);
+    bench.gate.poll_failed(bench.now, true);
+    bench.collect();
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+}
+
 /// The worker may have closed its listening socket while its runs continue.
 #[test]
 fn worker_that_answers_polls_and_refuses_other_connections_is_not_lost() {
