Tests: the end of an incarnation is played as a crash

The line was provoked by a deregistration, which does not end an incarnation with runs any more; a refused connection together with a broken poll does. The assertions are as before.

--- a/tests/ephemeral_log_lines.rs
+++ b/tests/ephemeral_log_lines.rs
@@ -9,7 +9,7 @@
 use winghold::ephemeral::dispatcher::WaiterId;
 use winghold::ephemeral::job::JobId;
 use winghold::ephemeral::message::{NotRunReason, RunEnd, ToGate};
-use winghold::ephemeral::worker::StartReply;
+use winghold::ephemeral::worker::{StartReply, WorkerCallError};
 
 fn caller_leaves(bench: &mut Bench) {
     let (now, waiter) = (bench.now, WaiterId(1));
@@ -111,8 +111,9 @@
 fn end_of_a_worker_incarnation_is_logged_with_its_runs() {
     let log = CapturedLog::default();
     let mut bench = gate_with_run(&log);
-    let worker = bench.worker();
-    bench.gate.worker_left(bench.now, &worker);
+    let refused = Err(WorkerCallError::Refused);
+    bench.answer_stop(gate_bench::run(9), refused);
+    bench.gate.poll_failed(bench.now, true);
     let fields = ["runs=1", "carried_over=false"];
     log.assert_line("worker incarnation ended", &fields);
     log.assert_line("run ended", &["entry=e", "end=Stopped"]);
