Sessions: a frame carries the time of the turn that decided it

Missing: an entry that is paused between deciding and writing sends an order that looks new. The gate can't tell that its entry may have been given up meanwhile; its session without work lives for idle_peer_timeout (4.1 s), while callers send again after 1.3 s.

Cause: `sent_us` was read from the clock in the connection's writer task, that is after the pause, and after the wait in the queue of a slow connection.

Change: `Sessions::flush` takes the `Moment` of the turn and stamps frames with it, in both directions. Sessions need no timer any more.

Conclusion: `max_frame_age` now counts pauses of the sender too. A frame that waits behind a full connection ages in the queue, as it should.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -123,7 +123,7 @@
         }
         let agent = Agent {
             gate,
-            sessions: Sessions::new(parts.timer.clone(), on_event),
+            sessions: Sessions::new(on_event),
             tx: tx.clone(),
             rx,
             leaving: false,
@@ -236,7 +236,7 @@
         for action in self.gate.take_actions(now) {
             self.execute(now, action);
         }
-        for session in self.sessions.flush() {
+        for session in self.sessions.flush(now) {
             warn!(self.parts.log, "cannot queue frame for entry; closing session";
                 "session" => session.0);
             self.end_session(session, SessionEndCause::Stuck);
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -106,7 +106,7 @@
         };
         let entry = Entry {
             dispatcher: Dispatcher::new(parts.process.clone(), parts.limits, parts.log.clone()),
-            sessions: Sessions::new(parts.timer.clone(), on_event),
+            sessions: Sessions::new(on_event),
             dialer: Dialer::default(),
             replies: HashMap::new(),
             status,
@@ -340,7 +340,7 @@
                 DispatchAction::ConfigReceived(document) => self.apply_config(document, "entry"),
             }
         }
-        for session in self.sessions.flush() {
+        for session in self.sessions.flush(now) {
             warn!(self.parts.log, "cannot queue frame for gate; closing session";
                 "session" => session.0);
             self.end_session(session, SessionEndCause::Stuck);
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -28,7 +28,8 @@
 /// Messages sent together.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Frame<M> {
-    /// Monotonic clock of the sender, in microseconds.
+    /// Time of the turn in which the sender decided the messages, on its monotonic clock, in
+    /// microseconds.
     pub sent_us: u64,
     /// The messages, in order.
     pub messages: Vec<M>,
--- a/src/ephemeral/session.rs
+++ b/src/ephemeral/session.rs
@@ -98,14 +98,13 @@
 type EventSink<M> = Arc<dyn Fn(SessionEvent<M>) -> bool + Send + Sync>;
 
 struct OpenSession<S> {
-    frames: Sender<Vec<S>>,
+    frames: Sender<Frame<S>>,
     clock: FrameClock,
     outbox: Vec<S>,
 }
 
 /// Open sessions of a process; sends messages of type `S` and receives `R`.
 pub struct Sessions<S, R> {
-    timer: Timer,
     on_event: EventSink<R>,
     open: HashMap<SessionId, OpenSession<S>>,
     counts: FrameCounts,
@@ -120,11 +119,9 @@
     /// Creates an empty set; events go to `on_event`, which returns `false` once the receiver
     /// is gone.
     pub fn new(
-        timer: Timer,
         on_event: impl Fn(SessionEvent<R>) -> bool + Send + Sync + 'static,
     ) -> Sessions<S, R> {
         Sessions {
-            timer,
             on_event: Arc::new(on_event),
             open: HashMap::new(),
             counts: FrameCounts::default(),
@@ -143,8 +140,8 @@
             outbox: Vec::new(),
         };
         self.open.insert(session, open);
-        let (timer, on_event) = (self.timer.clone(), self.on_event.clone());
-        tokio::spawn(async move { run_connection(session, stream, rx, timer, on_event).await });
+        let on_event = self.on_event.clone();
+        tokio::spawn(async move { run_connection(session, stream, rx, on_event).await });
         session
     }
 
@@ -176,9 +173,9 @@
         self.counts.report(metrics);
     }
 
-    /// Queues one frame per session with the messages to send; closes and returns the sessions
-    /// whose queue does not accept it.
-    pub fn flush(&mut self) -> Vec<SessionId> {
+    /// Queues one frame per session with the messages that the turn at `now` decided to send;
+    /// closes and returns the sessions whose queue does not accept it.
+    pub fn flush(&mut self, now: Moment) -> Vec<SessionId> {
         let mut stuck = Vec::new();
         for (session, open) in &mut self.open {
             if open.outbox.is_empty() {
@@ -186,7 +183,11 @@
             }
             let messages = std::mem::take(&mut open.outbox);
             self.counts.record(&messages);
-            if open.frames.try_send(messages).is_err() {
+            let frame = Frame {
+                sent_us: now.mono_us,
+                messages,
+            };
+            if open.frames.try_send(frame).is_err() {
                 stuck.push(*session);
             }
         }
@@ -207,8 +208,7 @@
 async fn run_connection<S, R>(
     session: SessionId,
     stream: TcpStream,
-    mut outgoing: Receiver<Vec<S>>,
-    timer: Timer,
+    mut outgoing: Receiver<Frame<S>>,
     on_event: EventSink<R>,
 ) where
     S: Serialize,
@@ -224,11 +224,7 @@
     let mut source = FramedRead::new(read_half, codec.clone());
     let mut buf = BytesMut::new();
     let writing = async {
-        while let Some(messages) = outgoing.recv().await {
-            let frame = Frame {
-                sent_us: timer.now().mono_us,
-                messages,
-            };
+        while let Some(frame) = outgoing.recv().await {
             let Ok(bytes) = rmp_serde::to_vec(&frame) else {
                 break;
             };
