Agent, entry: a turn reads its clock after its inputs

Missing: a turn read the clock, then drained its inputs. If the thread got no processor time in between, what arrived meanwhile was handled as if it had been there before. An agent then took a worker's clock for ahead of its true reading, by the length of the pause, and granted leases that are longer by as much, until the estimate (2% a second) had come down again: 15 s after 300 ms.

Cause: `Incarnation::update_clock` keeps the reading as a lower bound at `now`, which is only true if the reading is not younger than `now`.

Ruled out: times of arrival in each event (more state for the same bound); calls decided by a paused turn: a start and a poll carry the end of the lease on the worker's clock, computed from the turn's `now`, so a pause after the decision shortens the lease.

Change: both loops take all inputs that are there, then read the clock, then handle them. A pause before the clock is read makes inputs older, a pause after it makes what is sent older.

Conclusion: `now` is not before anything that a turn has read, and not after anything that it decides.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -139,15 +139,15 @@
         loop {
             let pause = self.gate.longest_pause(self.parts.timer.now());
             let timer = self.parts.timer.clone();
-            let event = timer.timeout(pause, self.rx.recv()).await.flatten();
+            let first = timer.timeout(pause, self.rx.recv()).await.flatten();
+            let mut events = Vec::from_iter(first);
+            events.extend(std::iter::from_fn(|| self.rx.try_recv().ok()));
+            // After a pause, a clock read before the inputs would make them look too young.
             let now = self.parts.timer.now();
             if let Some(gap) = suspension.record_turn(now) {
                 warn!(self.parts.log, "process was suspended"; "gap_ms" => gap.as_millis() as u64);
             }
-            if let Some(event) = event {
-                self.handle(now, event);
-            }
-            while let Ok(event) = self.rx.try_recv() {
+            for event in events {
                 self.handle(now, event);
             }
             self.gate.tick(now);
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -127,18 +127,18 @@
         self.follow_store();
         let mut ticks = self.parts.timer.interval(TICK_INTERVAL);
         loop {
-            let event = tokio::select! {
+            let first = tokio::select! {
                 event = self.rx.recv() => event,
                 tick = ticks.recv() => tick.and(None),
             };
+            let mut events = Vec::from_iter(first);
+            events.extend(std::iter::from_fn(|| self.rx.try_recv().ok()));
+            // After a pause, a clock read before the inputs would make them look too young.
             let now = self.parts.timer.now();
             self.check_suspension(now);
             self.record_turn_delay(now);
             self.dispatcher.tick(now);
-            if let Some(event) = event {
-                self.handle(now, event);
-            }
-            while let Ok(event) = self.rx.try_recv() {
+            for event in events {
                 self.handle(now, event);
             }
             self.report_metrics(now);
