Sessions: the clock offset of a peer outlives its connection

Missing: the age of a frame is relative to the fastest frame of its session. If the first frame of a session had waited (in a backlog or a socket buffer of a process that did not run), all later ones looked too young by as much.

Cause: each session began with an empty `FrameClock`.

Ruled out: - forgetting the offset with the gate's state of the entry: that state ends after 455 ms of silence, so a gate that was paused would forget it just before it reads what waited meanwhile. It is kept for 60 s after the last frame, and as long as the peer has a connection; by incarnation, as the clock starts with the process. - a minimum over a window of time: a pause longer than the window empties it. - a minimum that never grows: at 50 ppm it makes frames 227 ms too old after 76 minutes (computed). Sessions hid this by ending as late and beginning anew; with an offset that is kept, the peer would be lost for good.

Change: `FrameClocks` keeps an offset for each incarnation of a peer. A frame that is slower than the fastest by no more than 500 ppm of the time since replaces it (the kernel's limit for adjusting a clock), so under drift up to that rate the offset follows and the age of a late frame isn't lowered. Beyond it, and after a step of the peer's clock (a virtual machine that was stopped), frames look too old: sessions close; after 1 s of only late frames the offset is taken anew. What waited during a pause of this process is read in far less. A frame that comes before its sender is named has no age and is not handled; both sides name themselves in the first frame.

Remains: the first frame of the first session of two processes counts as age 0 however long it waited, and so does the first one 60 s after the last. It is a hello or its answer. A start comes only after a hello and its answer, and looks too young by no more than the faster of the frames that came that way so far.

Conclusion: ages hold across connections; the error is the fastest frame's time.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -12,7 +12,7 @@
 use crate::ephemeral::gate::{Gate, GateAction};
 use crate::ephemeral::job::RunId;
 use crate::ephemeral::limits::Limits;
-use crate::ephemeral::message::{ProcessId, ToEntry, ToGate};
+use crate::ephemeral::message::{Frame, ProcessId, ToEntry, ToGate};
 use crate::ephemeral::session::{SessionEndCause, SessionEvent, SessionId, Sessions};
 use crate::ephemeral::suspension::Suspension;
 use crate::ephemeral::worker::{
@@ -123,7 +123,7 @@
         }
         let agent = Agent {
             gate,
-            sessions: Sessions::new(on_event),
+            sessions: Sessions::new(parts.limits.max_frame_age, on_event),
             tx: tx.clone(),
             rx,
             leaving: false,
@@ -170,20 +170,7 @@
                 self.sessions.open(stream);
             }
             Event::Session(SessionEvent::Frame { session, frame }) => {
-                let age_us = self.sessions.age_us(now, session, frame.sent_us);
-                if age_us > micros(self.parts.limits.max_frame_age) {
-                    warn!(self.parts.log, "frame exceeded the maximum age; closing session";
-                        "session" => session.0, "age_us" => age_us);
-                    self.end_session(session, SessionEndCause::LateFrame);
-                    return;
-                }
-                if !self.sessions.is_open(session) {
-                    return;
-                }
-                for message in frame.messages {
-                    self.gate.handle_message(now, session, message);
-                }
-                self.gate.frame_received(now, session);
+                self.handle_frame(now, session, frame);
             }
             Event::Session(SessionEvent::Closed(session)) => {
                 self.end_session(session, SessionEndCause::Closed);
@@ -217,6 +204,22 @@
         }
     }
 
+    fn handle_frame(&mut self, now: Moment, session: SessionId, frame: Frame<ToGate>) {
+        let Some(age_us) = self.sessions.age_us(now, session, &frame) else {
+            return;
+        };
+        if age_us > micros(self.parts.limits.max_frame_age) {
+            warn!(self.parts.log, "frame exceeded the maximum age; closing session";
+                "session" => session.0, "age_us" => age_us);
+            self.end_session(session, SessionEndCause::LateFrame);
+            return;
+        }
+        for message in frame.messages {
+            self.gate.handle_message(now, session, message);
+        }
+        self.gate.frame_received(now, session);
+    }
+
     fn set_worker(&self, worker: WorkerRecord) {
         self.parts.worker.set_addr(&worker.addr);
         self.parts.published.send_if_modified(|published| {
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -106,7 +106,7 @@
         };
         let entry = Entry {
             dispatcher: Dispatcher::new(parts.process.clone(), parts.limits, parts.log.clone()),
-            sessions: Sessions::new(on_event),
+            sessions: Sessions::new(parts.limits.max_frame_age, on_event),
             dialer: Dialer::default(),
             replies: HashMap::new(),
             status,
@@ -204,7 +204,9 @@
                 self.dispatcher.remove_waiter(now, waiter, job);
             }
             Event::Session(SessionEvent::Frame { session, frame }) => {
-                let age_us = self.sessions.age_us(now, session, frame.sent_us);
+                let Some(age_us) = self.sessions.age_us(now, session, &frame) else {
+                    return;
+                };
                 self.dispatcher.record_frame_wait(now, age_us);
                 if age_us > micros(self.parts.limits.max_frame_age) {
                     warn!(self.parts.log, "frame exceeded the maximum age; closing session";
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -1,7 +1,7 @@
 //! Messages between entries and gates.
 //!
 //! A frame carries the messages queued for one session and the sender's monotonic clock, from
-//! which the receiver estimates the frame's age ([`super::session`]).
+//! which the receiver estimates the frame's age ([`super::frame_clock`]).
 
 use std::cmp::Ordering;
 use std::sync::Arc;
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -16,7 +16,8 @@
 //! - [`losses`]: worker losses by task, and when a task is abandoned.
 //! - [`subset`]: the gates that an entry has sessions with.
 //! - [`message`], [`session`]: messages between entries and gates, and their transport;
-//!   [`suspension`] detects a suspended process, [`frame_counts`] counts frames by kind.
+//!   [`frame_clock`] estimates the age of frames, [`frame_counts`] counts them by kind,
+//!   [`suspension`] detects a suspended process.
 //! - [`directory`]: discovery through the store; [`follower`] follows keys of the store,
 //!   [`backoff`] sets the pauses between retries.
 //! - [`entry`], [`agent`]: the event loops that run these state machines.
@@ -29,6 +30,7 @@
 pub mod entry;
 pub mod evacuations;
 pub mod follower;
+pub mod frame_clock;
 pub mod frame_counts;
 pub mod gate;
 pub mod job;
--- a/src/ephemeral/session.rs
+++ b/src/ephemeral/session.rs
@@ -4,10 +4,10 @@
 //! on both sides.
 //!
 //! A frame that arrives too late is discarded, because its sender may have given up the session
-//! meanwhile. Its age is estimated from the sender's monotonic clock, relative to the fastest
-//! frame of the session.
+//! meanwhile. Its age is counted from the time at which its sender decided it, on the sender's
+//! monotonic clock ([`super::frame_clock`]).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,8 +21,9 @@
 use tokio_stream::StreamExt;
 use tokio_util::codec::{Encoder, FramedRead, LengthDelimitedCodec};
 
+use crate::ephemeral::frame_clock::FrameClocks;
 use crate::ephemeral::frame_counts::{FrameCounts, FrameMessage};
-use crate::ephemeral::message::Frame;
+use crate::ephemeral::message::{Frame, ProcessId, ToEntry, ToGate};
 use crate::metrics::Metrics;
 use crate::time::{Moment, Timer};
 
@@ -78,19 +79,27 @@
     }
 }
 
-/// Estimates the age of frames relative to the smallest clock offset seen.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct FrameClock {
-    min_offset_us: Option<i64>,
+/// Message that may name the process that sent it.
+pub trait SenderMessage {
+    /// The sender, if the message names it.
+    fn sender(&self) -> Option<&ProcessId>;
 }
 
-impl FrameClock {
-    /// Age in microseconds of a frame sent at `sent_us` on the sender's clock.
-    pub fn age_us(&mut self, now: Moment, sent_us: u64) -> u64 {
-        let offset_us = now.mono_us as i64 - sent_us as i64;
-        let min_us = self.min_offset_us.unwrap_or(offset_us).min(offset_us);
-        self.min_offset_us = Some(min_us);
-        (offset_us - min_us) as u64
+impl SenderMessage for ToGate {
+    fn sender(&self) -> Option<&ProcessId> {
+        match self {
+            ToGate::Hello { entry, .. } => Some(entry),
+            _ => None,
+        }
+    }
+}
+
+impl SenderMessage for ToEntry {
+    fn sender(&self) -> Option<&ProcessId> {
+        match self {
+            ToEntry::Hello { gate, .. } => Some(gate),
+            _ => None,
+        }
     }
 }
 
@@ -99,7 +108,8 @@
 
 struct OpenSession<S> {
     frames: Sender<Frame<S>>,
-    clock: FrameClock,
+    /// The peer, once it has named itself.
+    peer: Option<ProcessId>,
     outbox: Vec<S>,
 }
 
@@ -107,6 +117,7 @@
 pub struct Sessions<S, R> {
     on_event: EventSink<R>,
     open: HashMap<SessionId, OpenSession<S>>,
+    clocks: FrameClocks,
     counts: FrameCounts,
     last_id: u64,
 }
@@ -114,16 +125,18 @@
 impl<S, R> Sessions<S, R>
 where
     S: FrameMessage + Serialize + Send + 'static,
-    R: DeserializeOwned + Send + 'static,
+    R: SenderMessage + DeserializeOwned + Send + 'static,
 {
-    /// Creates an empty set; events go to `on_event`, which returns `false` once the receiver
-    /// is gone.
+    /// Creates an empty set of sessions with frames of at most `max_frame_age`; events go to
+    /// `on_event`, which returns `false` once the receiver is gone.
     pub fn new(
+        max_frame_age: Duration,
         on_event: impl Fn(SessionEvent<R>) -> bool + Send + Sync + 'static,
     ) -> Sessions<S, R> {
         Sessions {
             on_event: Arc::new(on_event),
             open: HashMap::new(),
+            clocks: FrameClocks::new(max_frame_age),
             counts: FrameCounts::default(),
             last_id: 0,
         }
@@ -136,7 +149,7 @@
         let (tx, rx) = channel(MAX_QUEUED_FRAMES);
         let open = OpenSession {
             frames: tx,
-            clock: FrameClock::default(),
+            peer: None,
             outbox: Vec::new(),
         };
         self.open.insert(session, open);
@@ -155,10 +168,23 @@
         self.open.contains_key(&session)
     }
 
-    /// Age of a frame of this session, in microseconds.
-    pub fn age_us(&mut self, now: Moment, session: SessionId, sent_us: u64) -> u64 {
-        let open = self.open.get_mut(&session);
-        open.map_or(0, |open| open.clock.age_us(now, sent_us))
+    /// Age in microseconds of a frame of this session that is read now. The first frame names
+    /// its sender; without it, the age is unknown and `None`.
+    pub fn age_us(&mut self, now: Moment, session: SessionId, frame: &Frame<R>) -> Option<u64> {
+        let open = self.open.get_mut(&session)?;
+        if open.peer.is_none() {
+            open.peer = frame.messages.iter().find_map(R::sender).cloned();
+            self.forget_silent_peers(now);
+        }
+        let peer = self.open.get(&session)?.peer.as_ref()?;
+        Some(self.clocks.age_us(now, peer, frame.sent_us))
+    }
+
+    fn forget_silent_peers(&mut self, now: Moment) {
+        let connected = self.open.values().filter_map(|open| open.peer.as_ref());
+        let connected: HashSet<&ProcessId> = connected.collect();
+        self.clocks
+            .forget_silent(now, |peer| connected.contains(peer));
     }
 
     /// Appends a message to the next frame of a session.
--- a/tests/ephemeral_fleet/connections.rs
+++ b/tests/ephemeral_fleet/connections.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use rand::RngExt;
+use winghold::ephemeral::frame_clock::FrameClock;
 use winghold::ephemeral::message::{ToEntry, ToGate};
-use winghold::ephemeral::session::{FrameClock, SessionId};
+use winghold::ephemeral::session::SessionId;
 use winghold::time::{Moment, micros};
 
 use super::Fleet;
--- a/tests/narrow_links/mod.rs
+++ b/tests/narrow_links/mod.rs
@@ -9,10 +9,11 @@
 
 use serde::Serialize;
 use winghold::ephemeral::dispatcher::{DispatchAction, Dispatcher};
+use winghold::ephemeral::frame_clock::FrameClock;
 use winghold::ephemeral::gate::{Gate, GateAction};
 use winghold::ephemeral::limits::Limits;
 use winghold::ephemeral::message::{ConfigDocument, Frame, ProcessId, ToEntry, ToGate};
-use winghold::ephemeral::session::{FrameClock, SessionId};
+use winghold::ephemeral::session::SessionId;
 use winghold::logging;
 use winghold::time::{Moment, micros};
 
--- a/tests/suspended_machine.rs
+++ b/tests/suspended_machine.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rustix::time::{ClockId, clock_gettime};
-use winghold::ephemeral::session::FrameClock;
+use winghold::ephemeral::frame_clock::FrameClock;
 use winghold::ephemeral::suspension::Suspension;
 use winghold::time::{MonotonicClock, Timer};
 
