Gate: an entry's silence counts from when its last frame was sent

Missing: a run could outlive its entry by peer_timeout + max_frame_age + lease + stop, 455 + 227 + 703 + 50 = 1435 ms, and callers send again after 1300 ms. In the simulated fleet the task then ran twice at a time: a gate pauses, its entry sends a last heartbeat and dies, the gate reads that heartbeat 220 ms later, and pauses again just before the peer timeout counted from there.

Cause: `Gate::frame_received` and the state after a hello took the arrival of a frame for the time at which its entry was alive.

Ruled out: - adding max_frame_age to the sum and shortening the other terms: the peer timeout would become 228 ms, less than two heartbeats. - the entry's own side (`Dispatcher::frame_received`, `GateView::is_gone`): an entry that notices late that a gate is gone answers its callers later, so they send again later, while its own last frame to that gate doesn't become younger. Counting from sending would only end jobs earlier. Unchanged. - orders decided before a pause of the agent: starts, repeated starts and polls carry a lease end from the turn's `now`; a repeated start asks `is_entry_alive` for the same `now`.

Change: the agent passes the estimated time of sending (arrival minus age). The fleet of the tests keeps clock offsets by incarnation, as processes do, and can pause an entry between deciding and writing a start.

The bench of the gate's tests now records the frame of its hello, as the agent does.

Conclusion: the age of frames is not in the sum any more, up to its error.

--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -217,7 +217,11 @@
         for message in frame.messages {
             self.gate.handle_message(now, session, message);
         }
-        self.gate.frame_received(now, session);
+        let sent = Moment {
+            mono_us: now.mono_us.saturating_sub(age_us),
+            ..now
+        };
+        self.gate.frame_received(sent, session);
     }
 
     fn set_worker(&self, worker: WorkerRecord) {
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -24,7 +24,7 @@
 pub(super) struct EntryState {
     /// Its open session.
     pub(super) session: Option<SessionId>,
-    /// Arrival time of its last frame, in monotonic microseconds.
+    /// When it sent its last frame, in monotonic microseconds of this process.
     pub(super) last_frame_us: u64,
     /// Configuration version that the entry has.
     pub(super) config: u64,
@@ -42,10 +42,11 @@
 }
 
 impl EntryState {
-    fn new(now: Moment, session: SessionId) -> EntryState {
+    /// State after a hello on `session`, sent at `sent_us` or later.
+    fn new(session: SessionId, sent_us: u64) -> EntryState {
         EntryState {
             session: Some(session),
-            last_frame_us: now.mono_us,
+            last_frame_us: sent_us,
             config: 0,
             seen: 0,
             unconfirmed_us: None,
@@ -90,11 +91,12 @@
         }
     }
 
-    /// Records that a frame arrived on a session.
-    pub fn frame_received(&mut self, now: Moment, session: SessionId) {
+    /// Records that a frame arrived on a session; `sent` is when it was sent, on the clock of
+    /// this process.
+    pub fn frame_received(&mut self, sent: Moment, session: SessionId) {
         let entry = self.sessions.get(&session);
         if let Some(state) = entry.and_then(|entry| self.entries.get_mut(entry)) {
-            state.last_frame_us = now.mono_us;
+            state.last_frame_us = state.last_frame_us.max(sent.mono_us);
         }
     }
 
@@ -109,7 +111,8 @@
         info!(self.log, "entry connected"; "entry" => &*entry.name,
             "incarnation" => entry.incarnation, "open_runs" => open.len());
         self.expire_earlier_incarnations(now, &entry);
-        let state = EntryState::new(now, session);
+        let max_age_us = micros(self.limits.max_frame_age);
+        let state = EntryState::new(session, now.mono_us.saturating_sub(max_age_us));
         if let Some(before) = self.entries.insert(entry.clone(), state)
             && let Some(old) = before.session
         {
@@ -243,7 +246,7 @@
         }
     }
 
-    /// Whether the entry has sent a frame within the peer timeout.
+    /// Whether the entry has sent a frame within the peer timeout, whenever it arrived.
     pub(super) fn is_entry_alive(&self, now: Moment, entry: &ProcessId) -> bool {
         let silence_us = micros(self.limits.peer_timeout);
         let state = self.entries.get(entry);
--- a/src/ephemeral/limits.rs
+++ b/src/ephemeral/limits.rs
@@ -1,15 +1,23 @@
 //! Timeouts that end a run before its job can be resent.
 //!
 //! A caller without an answer resends its job after `resend`. By then no run of the first
-//! submission may be active. In the worst case the owner stops sending, and the gate freezes
-//! just before its peer timeout. The run then ends with the worker's lease, measured on a
-//! possibly slow clock:
+//! submission may be active. In the worst case the owner stops after it has decided its last
+//! frame, and the gate freezes just before its peer timeout. The run then ends with the worker's
+//! lease, measured on a possibly slow clock:
 //!
 //! ```text
 //! peer_timeout + lease * MAX_CLOCK_SLOWDOWN + stop < resend
 //! ```
 //!
-//! `tests/ephemeral_safety.rs` fails if one of the terms is removed.
+//! - A frame carries the time of the turn that decided it, and the peer timeout counts from that
+//!   time. How long the frame waited and travelled is therefore not in the sum.
+//! - The gate grants a lease from the time of the turn that decided it, once it has ordered the
+//!   stop of all runs whose owner's peer timeout has passed by then.
+//! - The age of a frame is estimated; it is too low by the time of the owner's fastest frame
+//!   ([`super::frame_clock`]). What the sum leaves of `resend` must exceed that time.
+//!
+//! `tests/ephemeral_safety.rs` fails if one of the terms is removed, or if silence counts from
+//! the arrival or the writing of frames.
 
 use std::time::Duration;
 
@@ -43,7 +51,8 @@
     /// Time without a frame after which a second connection is opened, as a connection may fail
     /// silently while the peer is alive.
     pub reconnect_after: Duration,
-    /// Time without a frame after which the peer of a session with work counts as lost.
+    /// Time without a frame after which the peer of a session with work counts as lost. A gate
+    /// counts it from the sending of the last frame.
     pub peer_timeout: Duration,
     /// Time without a frame after which the peer of a session without work counts as lost.
     pub idle_peer_timeout: Duration,
@@ -87,7 +96,8 @@
         }
     }
 
-    /// Longest time that a run continues after the last frame from its owner.
+    /// Longest time that a run continues after its owner decided its last frame, without the
+    /// error in the estimated age of that frame.
     pub fn max_orphan_time(&self) -> Duration {
         self.peer_timeout + self.lease.mul_f64(MAX_CLOCK_SLOWDOWN) + self.stop
     }
--- a/tests/ephemeral_fleet/callers.rs
+++ b/tests/ephemeral_fleet/callers.rs
@@ -126,26 +126,37 @@
         let mut hang_up = Vec::new();
         let mut again = Vec::new();
         for (id, caller) in &mut self.callers {
-            if let Some((waiter, entry, sent_us)) = caller.waiter
+            if let Some((_, _, sent_us)) = caller.waiter
                 && now_us > sent_us + CALLER_TIMEOUT_US
             {
-                caller.waiter = None;
-                caller.only_refused = false;
-                caller.resend_at_us = Some(now_us + micros(RESEND_DELAY));
-                hang_up.push((entry, waiter, *id));
+                hang_up.push(*id);
             }
             if caller.resend_at_us.is_some_and(|at| now_us >= at) {
                 again.push(*id);
             }
         }
-        for (entry, waiter, id) in hang_up {
-            if let Some(process) = &mut self.entries[entry] {
-                process.waiters.remove(&waiter);
-                process.inbox.push_back(EntryEvent::CallerLeft(waiter, id));
-            }
+        for id in hang_up {
+            self.hang_up(id);
         }
         for id in again {
             self.send(id);
         }
     }
+
+    /// Ends the connection of the job's caller, who sends the job again later.
+    pub fn hang_up(&mut self, id: JobId) {
+        let resend_at_us = self.now_us + micros(RESEND_DELAY);
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let Some((waiter, entry, _)) = caller.waiter.take() else {
+            return;
+        };
+        caller.only_refused = false;
+        caller.resend_at_us = Some(resend_at_us);
+        if let Some(process) = &mut self.entries[entry] {
+            process.waiters.remove(&waiter);
+            process.inbox.push_back(EntryEvent::CallerLeft(waiter, id));
+        }
+    }
 }
--- a/tests/ephemeral_fleet/connections.rs
+++ b/tests/ephemeral_fleet/connections.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use rand::RngExt;
-use winghold::ephemeral::frame_clock::FrameClock;
-use winghold::ephemeral::message::{ToEntry, ToGate};
+use winghold::ephemeral::frame_clock::FrameClocks;
+use winghold::ephemeral::message::{ProcessId, ToEntry, ToGate};
 use winghold::ephemeral::session::SessionId;
 use winghold::time::{Moment, micros};
 
@@ -13,7 +13,6 @@
 
 pub(super) struct Link<M> {
     pub(super) frames: VecDeque<(u64, u64, Vec<M>)>,
-    pub(super) clock: FrameClock,
     /// The receiver may still read buffered frames.
     pub(super) closed: bool,
 }
@@ -22,7 +21,6 @@
     fn default() -> Self {
         Link {
             frames: VecDeque::new(),
-            clock: FrameClock::default(),
             closed: false,
         }
     }
@@ -31,6 +29,8 @@
 pub(super) struct Connection {
     pub(super) entry: usize,
     pub(super) gate: usize,
+    pub(super) entry_id: ProcessId,
+    pub(super) gate_id: ProcessId,
     pub(super) entry_session: SessionId,
     pub(super) gate_session: SessionId,
     pub(super) to_gate: Link<ToGate>,
@@ -41,23 +41,27 @@
 
 /// Result of reading a frame from a link.
 pub(super) enum Read<M> {
-    Messages(Vec<M>),
+    /// With the estimated age of the frame, in microseconds.
+    Messages(u64, Vec<M>),
     /// The frame exceeded its maximum age; the link is closed.
     Late,
 }
 
 impl<M> Link<M> {
-    /// Reads the next frame that arrived by `now_us`; `now` is the reader's clock.
+    /// Reads the next frame of `sender` that arrived by `now_us`; `now` is the reader's clock.
     pub(super) fn read(
         &mut self,
         now_us: u64,
         now: Moment,
+        sender: &ProcessId,
+        clocks: &mut FrameClocks,
         max_frame_age_us: u64,
     ) -> Option<Read<M>> {
         let arrived = |(at_us, ..): &mut (u64, u64, Vec<M>)| *at_us <= now_us;
         let (_, sent_us, messages) = self.frames.pop_front_if(arrived)?;
-        if self.clock.age_us(now, sent_us) <= max_frame_age_us {
-            return Some(Read::Messages(messages));
+        let age_us = clocks.age_us(now, sender, sent_us);
+        if age_us <= max_frame_age_us {
+            return Some(Read::Messages(age_us, messages));
         }
         self.closed = true;
         self.frames.clear();
@@ -163,6 +167,8 @@
         let connection = Connection {
             entry,
             gate,
+            entry_id: caller.id.clone(),
+            gate_id: called.id.clone(),
             entry_session,
             gate_session: SessionId(called.sessions),
             to_gate: Link::default(),
--- a/tests/ephemeral_fleet/entries.rs
+++ b/tests/ephemeral_fleet/entries.rs
@@ -20,6 +20,7 @@
         if frozen {
             return;
         }
+        self.write_after_pause(index);
         self.read_entry_connections(index, now);
         let Some(process) = &mut self.entries[index] else {
             return;
@@ -38,7 +39,38 @@
             }
         }
         let actions = process.dispatcher.take_actions(now);
-        self.apply_entry_actions(index, actions);
+        let starts = |action: &DispatchAction| {
+            matches!(
+                action,
+                DispatchAction::Send {
+                    message: ToGate::Start(_),
+                    ..
+                }
+            )
+        };
+        if actions.iter().any(starts)
+            && let Some(pause_us) = process.pause_before_writing_us.take()
+        {
+            process.unwritten = Some((now.mono_us, actions));
+            self.freeze_entry(index, pause_us);
+            return;
+        }
+        self.apply_entry_actions(index, now.mono_us, actions);
+    }
+
+    /// Makes the next turn of an entry that sends a start pause between its decisions and the
+    /// writing of its frames.
+    pub fn pause_before_writing(&mut self, entry: usize, for_us: u64) {
+        if let Some(process) = &mut self.entries[entry] {
+            process.pause_before_writing_us = Some(for_us);
+        }
+    }
+
+    fn write_after_pause(&mut self, index: usize) {
+        let process = self.entries[index].as_mut();
+        if let Some((decided_us, actions)) = process.and_then(|one| one.unwritten.take()) {
+            self.apply_entry_actions(index, decided_us, actions);
+        }
     }
 
     pub(super) fn read_entry_connections(&mut self, index: usize, now: Moment) {
@@ -55,8 +87,16 @@
             };
             let connection = &mut self.connections[at];
             let link = &mut connection.to_entry;
-            while readable && let Some(read) = link.read(now_us, now, max_frame_age_us) {
-                let Read::Messages(messages) = read else {
+            while readable
+                && let Some(read) = link.read(
+                    now_us,
+                    now,
+                    &connection.gate_id,
+                    &mut process.clocks,
+                    max_frame_age_us,
+                )
+            {
+                let Read::Messages(_, messages) = read else {
                     connection.to_gate.closed = true;
                     break;
                 };
@@ -80,8 +120,17 @@
         }
     }
 
-    pub(super) fn apply_entry_actions(&mut self, index: usize, actions: Vec<DispatchAction>) {
-        let sent_us = self.moment(index).mono_us;
+    /// Carries out the actions that an entry decided at `decided_us` on its clock.
+    pub(super) fn apply_entry_actions(
+        &mut self,
+        index: usize,
+        decided_us: u64,
+        actions: Vec<DispatchAction>,
+    ) {
+        let sent_us = match self.disabled.decision_time {
+            true => self.moment(index).mono_us,
+            false => decided_us,
+        };
         let mut outbox: HashMap<SessionId, Vec<ToGate>> = HashMap::new();
         let mut redial = Vec::new();
         for action in actions {
--- a/tests/ephemeral_fleet/gates.rs
+++ b/tests/ephemeral_fleet/gates.rs
@@ -111,8 +111,16 @@
             };
             let connection = &mut self.connections[at];
             let link = &mut connection.to_gate;
-            while readable && let Some(read) = link.read(now_us, now, max_frame_age_us) {
-                let Read::Messages(messages) = read else {
+            while readable
+                && let Some(read) = link.read(
+                    now_us,
+                    now,
+                    &connection.entry_id,
+                    &mut process.clocks,
+                    max_frame_age_us,
+                )
+            {
+                let Read::Messages(age_us, messages) = read else {
                     connection.to_entry.closed = true;
                     break;
                 };
@@ -121,7 +129,14 @@
                         .gate
                         .handle_message(now, connection.gate_session, message);
                 }
-                process.gate.frame_received(now, connection.gate_session);
+                let sent = match self.disabled.sending_time {
+                    true => now,
+                    false => Moment {
+                        mono_us: now.mono_us.saturating_sub(age_us),
+                        ..now
+                    },
+                };
+                process.gate.frame_received(sent, connection.gate_session);
             }
             if link.closed && link.frames.is_empty() {
                 lost.push(connection.gate_session);
--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -24,7 +24,8 @@
 use crashes::Crashes;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use winghold::ephemeral::dispatcher::{Dispatcher, WaiterId};
+use winghold::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
+use winghold::ephemeral::frame_clock::FrameClocks;
 use winghold::ephemeral::gate::Gate;
 use winghold::ephemeral::job::{Constraints, JobId, JobSpec, Resources, RunId};
 use winghold::ephemeral::limits::Limits;
@@ -55,6 +56,10 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DisabledGuards {
     pub frame_age: bool,
+    /// When set, gates count silence from the arrival of frames.
+    pub sending_time: bool,
+    /// When set, frames of entries carry the time of their writing.
+    pub decision_time: bool,
     /// When set, the clock of a process excludes the time in which it was frozen.
     pub suspended_time: bool,
 }
@@ -101,6 +106,12 @@
 }
 
 struct EntryProcess {
+    id: ProcessId,
+    clocks: FrameClocks,
+    /// Pause in the next turn that sends a start.
+    pause_before_writing_us: Option<u64>,
+    /// Actions of a turn that is paused, and when they were decided.
+    unwritten: Option<(u64, Vec<DispatchAction>)>,
     dispatcher: Dispatcher,
     frozen_until_us: u64,
     cut_until_us: u64,
@@ -116,6 +127,8 @@
 }
 
 struct GateProcess {
+    id: ProcessId,
+    clocks: FrameClocks,
     gate: Gate,
     frozen_until_us: u64,
     cut_until_us: u64,
@@ -306,8 +319,12 @@
             return;
         }
         let me = self.next_process_id(&format!("entry-{index}"));
-        let dispatcher = Dispatcher::new(me, self.limits, logging::discard());
+        let dispatcher = Dispatcher::new(me.clone(), self.limits, logging::discard());
         self.entries[index] = Some(EntryProcess {
+            id: me,
+            clocks: FrameClocks::new(self.limits.max_frame_age),
+            pause_before_writing_us: None,
+            unwritten: None,
             dispatcher,
             frozen_until_us: 0,
             cut_until_us: 0,
@@ -322,10 +339,12 @@
             return;
         }
         let me = self.next_process_id(&format!("gate-{index}"));
-        let mut gate = Gate::new(me, self.limits, logging::discard());
+        let mut gate = Gate::new(me.clone(), self.limits, logging::discard());
         gate.restore_losses(self.stored_losses[index].clone());
         gate.await_evacuation_state(self.gate_moment(index));
         self.gates[index] = Some(GateProcess {
+            id: me,
+            clocks: FrameClocks::new(self.limits.max_frame_age),
             gate,
             frozen_until_us: 0,
             cut_until_us: 0,
@@ -542,6 +561,20 @@
         self.callers.get(&job).and_then(|caller| caller.answer)
     }
 
+    /// Entry that `job` was last sent to and has not answered.
+    pub fn entry_of(&self, job: JobId) -> Option<usize> {
+        let caller = self.callers.get(&job);
+        caller
+            .and_then(|caller| caller.waiter)
+            .map(|(_, entry, _)| entry)
+    }
+
+    /// Gate whose worker runs a task of `job`.
+    pub fn gate_of(&self, job: JobId) -> Option<usize> {
+        let runs = |worker: &FakeWorker| worker.running().any(|run| run.job == job);
+        self.workers.iter().position(runs)
+    }
+
     /// Runs in progress on all workers.
     pub fn running(&self) -> HashSet<RunId> {
         self.workers.iter().flat_map(FakeWorker::running).collect()
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -155,6 +155,48 @@
     assert!(closed);
 }
 
+/// Otherwise a frame of an earlier connection that is read late ends an entry too early.
+#[test]
+fn older_frame_does_not_add_to_the_silence_of_an_entry() {
+    let mut bench = Bench::ready();
+    let before = bench.now;
+    bench.advance(200);
+    bench.order(run(1), 600, 100);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    bench.gate.frame_received(before, ENTRY);
+    bench.advance(450);
+    assert!(bench.stops().is_empty());
+    bench.advance(20);
+    assert_eq!(bench.stops(), [run(1)]);
+}
+
+/// Otherwise an entry counts as alive when its hello is read, however long that had waited.
+#[test]
+fn silence_after_a_slow_hello_counts_from_its_sending() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    let sent = bench.now;
+    bench.advance(200);
+    let open = OpenRun {
+        run: run(1),
+        sent_to: 1,
+        needs: resources(600),
+        expected_us: 100 * MS,
+    };
+    let hello = ToGate::Hello {
+        entry: process("e", 1),
+        config: 0,
+        open: vec![open],
+    };
+    bench.gate.handle_message(bench.now, ENTRY, hello);
+    bench.gate.frame_received(sent, ENTRY);
+    bench.advance(250);
+    assert!(bench.stops().is_empty());
+    bench.advance(10);
+    assert_eq!(bench.stops(), [run(1)]);
+}
+
 #[test]
 fn entry_that_reconnects_in_time_keeps_its_runs() {
     let mut bench = Bench::ready();
--- a/tests/ephemeral_safety.rs
+++ b/tests/ephemeral_safety.rs
@@ -11,6 +11,7 @@
 use ephemeral_fleet::{DisabledGuards, Fleet, limits};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use winghold::ephemeral::job::JobId;
 use winghold::ephemeral::limits::Limits;
 
 /// Default number of cases; the environment variable `EPHEMERAL_CASES` overrides it.
@@ -309,3 +310,89 @@
     };
     assert!(breaks(limits(), without));
 }
+
+/// The job of the tests below; its task runs for more than two seconds.
+const JOB: JobId = JobId(1);
+const MS: u64 = 1_000;
+
+/// Whether a guarantee breaks if an entry dies after a frame that its gate reads late, and the
+/// gate stops `left_ms` before it has been silent for the peer timeout since it read that frame.
+fn breaks_with_a_slow_last_frame(
+    seed: u64,
+    phase_ms: u64,
+    left_ms: u64,
+    without: DisabledGuards,
+) -> bool {
+    let mut fleet = Fleet::new(seed, limits(), without);
+    fleet.submit(1, 200_000);
+    fleet.run_for(100 * MS + phase_ms * MS);
+    let (Some(entry), Some(gate)) = (fleet.entry_of(JOB), fleet.gate_of(JOB)) else {
+        return false;
+    };
+    let (pause, peer_timeout) = (limits().max_frame_age, limits().peer_timeout);
+    let pause_us = pause.as_micros() as u64;
+    fleet.freeze_gate(gate, pause_us);
+    fleet.run_for(10 * MS);
+    fleet.kill_entry(entry);
+    fleet.run_for(pause_us + peer_timeout.as_micros() as u64 - (10 + left_ms) * MS);
+    fleet.freeze_gate(gate, 3_000 * MS);
+    fleet.run_for(3_000 * MS);
+    !fleet.violations.is_empty()
+}
+
+/// Number of cases in which a slow last frame breaks a guarantee.
+fn slow_last_frames_that_break(without: DisabledGuards) -> usize {
+    let seeds = 0..6;
+    let phases = (0..limits().heartbeat_interval.as_millis() as u64).step_by(10);
+    let cases = seeds.flat_map(|seed| phases.clone().map(move |phase_ms| (seed, phase_ms)));
+    let cases =
+        cases.flat_map(|(seed, phase_ms)| [5, 25, 50, 100].map(|left| (seed, phase_ms, left)));
+    let breaking = cases.filter(|(seed, phase_ms, left_ms)| {
+        breaks_with_a_slow_last_frame(*seed, *phase_ms, *left_ms, without)
+    });
+    breaking.count()
+}
+
+/// Otherwise the age of the last frame is added to the time that a run outlives its entry.
+#[test]
+fn run_ends_in_time_after_a_slow_last_frame_of_its_entry() {
+    assert_eq!(slow_last_frames_that_break(DisabledGuards::default()), 0);
+}
+
+#[test]
+fn counting_silence_from_the_arrival_of_frames_breaks_a_guarantee() {
+    let without = DisabledGuards {
+        sending_time: true,
+        ..DisabledGuards::default()
+    };
+    assert!(slow_last_frames_that_break(without) > 0);
+}
+
+/// Whether a guarantee breaks if an entry stops between deciding and writing a start, and its
+/// caller leaves meanwhile.
+fn breaks_with_a_pause_before_writing(seed: u64, without: DisabledGuards) -> bool {
+    let mut fleet = Fleet::new(seed, limits(), without);
+    fleet.submit(1, 200_000);
+    let entry = fleet.entry_of(JOB).expect("all entries are up");
+    fleet.pause_before_writing(entry, 2_500 * MS);
+    fleet.run_for(300 * MS);
+    fleet.hang_up(JOB);
+    fleet.run_for(4_000 * MS);
+    !fleet.violations.is_empty()
+}
+
+/// Otherwise a start that was decided for a caller who has left since looks new to the gate.
+#[test]
+fn start_decided_before_a_pause_of_its_entry_is_not_carried_out() {
+    let breaks = |seed| breaks_with_a_pause_before_writing(seed, DisabledGuards::default());
+    assert_eq!((0..50).find(|seed| breaks(*seed)), None);
+}
+
+#[test]
+fn stamping_frames_when_they_are_written_breaks_a_guarantee() {
+    let without = DisabledGuards {
+        decision_time: true,
+        ..DisabledGuards::default()
+    };
+    assert!((0..50).any(|seed| breaks_with_a_pause_before_writing(seed, without)));
+}
--- a/tests/gate_bench/mod.rs
+++ b/tests/gate_bench/mod.rs
@@ -145,6 +145,7 @@
             open,
         };
         self.gate.handle_message(self.now, ENTRY, hello);
+        self.gate.frame_received(self.now, ENTRY);
         self.collect();
     }
 
