Tests: a new process of the fleet can't read what a dead one left unread

Cause: in the simulation, not in the product. Frames to a dead entry stayed in its closed connections, and the next incarnation of the entry read them. Its session ids begin at 1 again, so the end of a run at gate 0 counted as one of the same number at gate 1. A real process loses its sockets when it dies.

Ruled out by the trace: an end sent twice, or on the wrong session, by a gate.

Change: killing an entry or a gate drops what it had not read. What it had sent stays readable for the other side.

Conclusion: the fleet plays one impossible failure less, and no other.

--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -388,11 +388,16 @@
         self.connections
             .retain(|connection| connection.entry != index || !connection.silent);
         self.close_connections(|connection| connection.entry == index, !cut);
+        // The next incarnation cannot read what this one left unread.
+        let own = self.connections.iter_mut().filter(|one| one.entry == index);
+        own.for_each(|connection| connection.to_entry.frames.clear());
     }
 
     pub fn kill_gate(&mut self, index: usize) {
         if self.gates[index].take().is_some() {
             self.close_connections(|connection| connection.gate == index, true);
+            let own = self.connections.iter_mut().filter(|one| one.gate == index);
+            own.for_each(|connection| connection.to_gate.frames.clear());
         }
     }
 
