Gate: nothing queued by a silent entry starts before its expiry is handled

Missing: after a suspension a gate handles what waited before `tick` expires silent entries. A start that must begin at once (patience 0) makes `start_queued` go through the whole queue, so a run that a dead entry had queued was started with a new lease, and stopped only after that, when its job may have been sent again to another entry. It takes another entry with an idle session (not overdue for 1.4 s) whose start is read in time.

Cause: `start_queued` asks whether the worker may take runs, not whether their owner still counts as alive.

A run that arrived in this turn is taken, as its frame was in time.

Change: `start_queued` leaves out earlier runs of owners that have been silent for the peer timeout. The bench of the gate's tests can build an order without handing it over.

Test: queued_run_of_a_silent_entry_is_not_started_after_a_suspension; before, it failed with run 2 (of the silent entry) among the ordered ones.

Conclusion: no start gets a lease after its owner's peer timeout.

--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -115,7 +115,13 @@
         if !open || !self.incarnation.as_ref().is_some_and(Incarnation::is_ready) {
             return;
         }
-        let waiting: Vec<QueuePosition> = self.queue.iter().copied().collect();
+        // `tick` may not have expired an owner that has been silent for too long. A run that
+        // arrived now did so in time.
+        let startable = |position: &&QueuePosition| {
+            let record = &self.runs[&position.run];
+            record.queued_or_started_us == now.mono_us || self.is_entry_alive(now, &record.owner)
+        };
+        let waiting: Vec<QueuePosition> = self.queue.iter().filter(startable).copied().collect();
         let mut blocked: Option<Priority> = None;
         for position in waiting {
             if blocked.is_some_and(|blocked| position.priority > blocked) {
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -7,7 +7,10 @@
 use winghold::ephemeral::gate::GateAction;
 use winghold::ephemeral::job::{Priority, RunId};
 use winghold::ephemeral::message::{NotRunReason, OpenRun, RunEnd, ToGate};
-use winghold::ephemeral::worker::{PollCall, PollReply, StartReply, WorkerCallError, WorkerEnd};
+use winghold::ephemeral::session::SessionId;
+use winghold::ephemeral::worker::{
+    EndedRow, PollCall, PollReply, StartReply, WorkerCallError, WorkerEnd,
+};
 
 #[test]
 fn runs_beyond_worker_capacity_wait() {
@@ -197,6 +200,41 @@
     assert_eq!(bench.stops(), [run(1)]);
 }
 
+/// Otherwise a gate that was suspended starts what a dead entry had queued, on the next start of
+/// another entry, and notices only then that the first one is silent.
+#[test]
+fn queued_run_of_a_silent_entry_is_not_started_after_a_suspension() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 0);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    bench.order(run(2), 600, 5_000);
+    bench.now.mono_us += 1_200 * MS;
+    let call = bench.poll_call();
+    let ended = EndedRow {
+        number: 1,
+        run: run(1),
+        end: WorkerEnd::Done,
+    };
+    let reply = PollReply {
+        clock_ms: 6_200,
+        ended: vec![ended],
+        ..PollReply::default()
+    };
+    let (now, other) = (bench.now, SessionId(2));
+    bench.gate.poll_answered(now, now, &call, Ok(reply));
+    let hello = ToGate::Hello {
+        entry: process("f", 1),
+        config: 0,
+        open: Vec::new(),
+    };
+    bench.gate.handle_message(now, other, hello);
+    let order = bench.start_order(run(3), 100, 0);
+    bench.gate.handle_message(now, other, order);
+    bench.gate.frame_received(now, other);
+    bench.advance(0);
+    assert_eq!(bench.ordered(), [run(1), run(3)]);
+}
+
 #[test]
 fn entry_that_reconnects_in_time_keeps_its_runs() {
     let mut bench = Bench::ready();
--- a/tests/gate_bench/mod.rs
+++ b/tests/gate_bench/mod.rs
@@ -165,6 +165,24 @@
     }
 
     pub fn order_as(&mut self, priority: Priority, run: RunId, cpu_milli: u64, patience_ms: u64) {
+        let message = self.start_order_as(priority, run, cpu_milli, patience_ms);
+        self.gate.handle_message(self.now, ENTRY, message);
+        self.gate.frame_received(self.now, ENTRY);
+        self.collect();
+    }
+
+    /// The next start order of an entry.
+    pub fn start_order(&mut self, run: RunId, cpu_milli: u64, patience_ms: u64) -> ToGate {
+        self.start_order_as(Priority::NORMAL, run, cpu_milli, patience_ms)
+    }
+
+    fn start_order_as(
+        &mut self,
+        priority: Priority,
+        run: RunId,
+        cpu_milli: u64,
+        patience_ms: u64,
+    ) -> ToGate {
         self.sent += 1;
         let order = StartOrder {
             run,
@@ -180,10 +198,7 @@
             implicated: self.implicated,
             number: self.sent,
         };
-        let message = ToGate::Start(Box::new(order));
-        self.gate.handle_message(self.now, ENTRY, message);
-        self.gate.frame_received(self.now, ENTRY);
-        self.collect();
+        ToGate::Start(Box::new(order))
     }
 
     pub fn answer_start(&mut self, run: RunId, answer: Result<StartReply, WorkerCallError>) {
@@ -202,9 +217,9 @@
         self.collect();
     }
 
-    /// Answers a poll with running and ended runs.
-    pub fn list_runs(&mut self, running: Vec<(RunId, u32)>, ended: Vec<(u64, RunId, WorkerEnd)>) {
-        let call = PollCall {
+    /// A poll of the gate's worker.
+    pub fn poll_call(&self) -> PollCall {
+        PollCall {
             worker: Some("w".into()),
             fence: Some(FENCE),
             lease_until_ms: None,
@@ -213,7 +228,12 @@
             timeout: std::time::Duration::from_millis(25),
             retry_delay: std::time::Duration::from_millis(20),
             check: false,
-        };
+        }
+    }
+
+    /// Answers a poll with running and ended runs.
+    pub fn list_runs(&mut self, running: Vec<(RunId, u32)>, ended: Vec<(u64, RunId, WorkerEnd)>) {
+        let call = self.poll_call();
         let running = running
             .into_iter()
             .map(|(run, percent)| RunningRow { run, percent });
