Tests: random failures with pauses within turns and callers that leave

Missing: the random cases paused processes only between turns, and callers left only after 8 s, so nothing was decided for a caller that left during a pause.

Change: another set of random events: pauses of an entry between deciding and writing a start, callers that leave at any time, pauses of a gate around the maximum age of frames.

--- a/tests/ephemeral_safety.rs
+++ b/tests/ephemeral_safety.rs
@@ -263,6 +263,50 @@
     assert_eq!(fleet.violations, Vec::<String>::new());
 }
 
+/// Events that also pause entries between deciding and writing, and let callers leave early.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum PauseEvent {
+    Fleet(FleetEvent),
+    /// Same as `Fleet`; makes these events more frequent.
+    FleetAgain(FleetEvent),
+    PauseBeforeWriting(u8, u8),
+    HangUp(u8),
+    /// A pause of a gate that leaves waiting frames just in time, or just too late.
+    PauseGate(u8, u8),
+}
+
+fn apply_pause_event(fleet: &mut Fleet, change: PauseEvent) {
+    match change {
+        PauseEvent::Fleet(event) | PauseEvent::FleetAgain(event) => apply_event(fleet, event),
+        PauseEvent::PauseBeforeWriting(entry, length) => {
+            fleet.pause_before_writing(usize::from(entry % 3), u64::from(length) * 12_000);
+        }
+        PauseEvent::HangUp(job) => fleet.hang_up(JobId(u64::from(job % 32))),
+        PauseEvent::PauseGate(gate, length) => {
+            fleet.freeze_gate(usize::from(gate % 3), 150_000 + u64::from(length) * 500);
+            fleet.run_for(u64::from(ephemeral_fleet::STEP_US as u32) * 4);
+        }
+    }
+}
+
+/// Otherwise what was decided before a pause could be carried out after it.
+#[test]
+fn guarantees_hold_while_processes_pause_and_callers_leave() {
+    let mut starts = 0;
+    for seed in 0..case_count() {
+        let mut fleet = Fleet::new(seed, limits(), DisabledGuards::default());
+        for change in random_events(seed) {
+            apply_pause_event(&mut fleet, change);
+        }
+        settle(&mut fleet);
+        assert_eq!(fleet.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(fleet.unanswered_without_losses(), 0, "seed {seed}");
+        assert!(fleet.running().is_empty(), "seed {seed}");
+        starts += fleet.starts;
+    }
+    assert!(starts > 500, "{starts} starts");
+}
+
 /// Number of cases of which at least one must break a guarantee without a safeguard.
 const MAX_CASES_UNTIL_VIOLATION: u64 = 10_000;
 
