--- a/src/ephemeral/agent.rs
+++ b/src/ephemeral/agent.rs
@@ -12,7 +12,7 @@
 use crate::ephemeral::gate::{Gate, GateAction};
 use crate::ephemeral::job::RunId;
 use crate::ephemeral::limits::Limits;
-use crate::ephemeral::message::{ProcessId, ToEntry, ToGate};
+use crate::ephemeral::message::{Frame, ProcessId, ToEntry, ToGate};
 use crate::ephemeral::session::{SessionEndCause, SessionEvent, SessionId, Sessions};
 use crate::ephemeral::suspension::{Pauses, Suspension};
 use crate::ephemeral::worker::{
@@ -123,7 +123,7 @@
         }
         let agent = Agent {
             gate,
-            sessions: Sessions::new(parts.timer.clone(), on_event),
+            sessions: Sessions::new(parts.limits.max_frame_age, on_event),
             tx: tx.clone(),
             rx,
             leaving: false,
@@ -140,7 +140,10 @@
         loop {
             let pause = self.gate.longest_pause(self.parts.timer.now());
             let timer = self.parts.timer.clone();
-            let event = timer.timeout(pause, self.rx.recv()).await.flatten();
+            let first = timer.timeout(pause, self.rx.recv()).await.flatten();
+            let mut events = Vec::from_iter(first);
+            events.extend(std::iter::from_fn(|| self.rx.try_recv().ok()));
+            // After a pause, a clock read before the inputs would make them look too young.
             let now = self.parts.timer.now();
             if let Some(gap) = suspension.record_turn(now) {
                 warn!(self.parts.log, "process was suspended"; "gap_ms" => gap.as_millis() as u64);
@@ -148,10 +151,7 @@
             if let Some(late) = pauses.record_turn(now, pause) {
                 debug!(self.parts.log, "process paused"; "late_ms" => late.as_millis() as u64);
             }
-            if let Some(event) = event {
-                self.handle(now, event);
-            }
-            while let Ok(event) = self.rx.try_recv() {
+            for event in events {
                 self.handle(now, event);
             }
             self.gate.tick(now);
@@ -174,20 +174,7 @@
                 self.sessions.open(stream);
             }
             Event::Session(SessionEvent::Frame { session, frame }) => {
-                let age_us = self.sessions.age_us(now, session, frame.sent_us);
-                if age_us > micros(self.parts.limits.max_frame_age) {
-                    warn!(self.parts.log, "frame exceeded the maximum age; closing session";
-                        "session" => session.0, "age_us" => age_us);
-                    self.end_session(session, SessionEndCause::LateFrame);
-                    return;
-                }
-                if !self.sessions.is_open(session) {
-                    return;
-                }
-                for message in frame.messages {
-                    self.gate.handle_message(now, session, message);
-                }
-                self.gate.frame_received(now, session);
+                self.handle_frame(now, session, frame);
             }
             Event::Session(SessionEvent::Closed(session)) => {
                 self.end_session(session, SessionEndCause::Closed);
@@ -221,6 +208,26 @@
         }
     }
 
+    fn handle_frame(&mut self, now: Moment, session: SessionId, frame: Frame<ToGate>) {
+        let Some(age_us) = self.sessions.age_us(now, session, &frame) else {
+            return;
+        };
+        if age_us > micros(self.parts.limits.max_frame_age) {
+            warn!(self.parts.log, "frame exceeded the maximum age; closing session";
+                "session" => session.0, "age_us" => age_us);
+            self.end_session(session, SessionEndCause::LateFrame);
+            return;
+        }
+        for message in frame.messages {
+            self.gate.handle_message(now, session, message);
+        }
+        let sent = Moment {
+            mono_us: now.mono_us.saturating_sub(age_us),
+            ..now
+        };
+        self.gate.frame_received(sent, session);
+    }
+
     fn set_worker(&self, worker: WorkerRecord) {
         self.parts.worker.set_addr(&worker.addr);
         self.parts.published.send_if_modified(|published| {
@@ -240,7 +247,7 @@
         for action in self.gate.take_actions(now) {
             self.execute(now, action);
         }
-        for session in self.sessions.flush() {
+        for session in self.sessions.flush(now) {
             warn!(self.parts.log, "cannot queue frame for entry; closing session";
                 "session" => session.0);
             self.end_session(session, SessionEndCause::Stuck);
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -115,7 +115,7 @@
         };
         let entry = Entry {
             dispatcher: Dispatcher::new(parts.process.clone(), parts.limits, parts.log.clone()),
-            sessions: Sessions::new(parts.timer.clone(), on_event),
+            sessions: Sessions::new(parts.limits.max_frame_age, on_event),
             dialer: Dialer::default(),
             replies: HashMap::new(),
             callers: Callers::default(),
@@ -138,19 +138,19 @@
         self.follow_store();
         let mut ticks = self.parts.timer.interval(TICK_INTERVAL);
         loop {
-            let event = tokio::select! {
+            let first = tokio::select! {
                 event = self.rx.recv() => event,
                 tick = ticks.recv() => tick.and(None),
             };
+            let mut events = Vec::from_iter(first);
+            events.extend(std::iter::from_fn(|| self.rx.try_recv().ok()));
+            // After a pause, a clock read before the inputs would make them look too young.
             let now = self.parts.timer.now();
             self.check_suspension(now);
             self.record_turn_delay(now);
             self.remove_disconnected_callers(now);
             self.dispatcher.tick(now);
-            if let Some(event) = event {
-                self.handle(now, event);
-            }
-            while let Ok(event) = self.rx.try_recv() {
+            for event in events {
                 self.handle(now, event);
             }
             self.report_metrics(now);
@@ -218,7 +218,9 @@
                 self.remove_caller(now, waiter, job);
             }
             Event::Session(SessionEvent::Frame { session, frame }) => {
-                let age_us = self.sessions.age_us(now, session, frame.sent_us);
+                let Some(age_us) = self.sessions.age_us(now, session, &frame) else {
+                    return;
+                };
                 self.dispatcher.record_frame_wait(now, age_us);
                 if age_us > micros(self.parts.limits.max_frame_age) {
                     warn!(self.parts.log, "frame exceeded the maximum age; closing session";
@@ -397,7 +399,7 @@
                 DispatchAction::ConfigReceived(document) => self.apply_config(document, "entry"),
             }
         }
-        for session in self.sessions.flush() {
+        for session in self.sessions.flush(now) {
             warn!(self.parts.log, "cannot queue frame for gate; closing session";
                 "session" => session.0);
             self.end_session(session, SessionEndCause::Stuck);
--- a/src/ephemeral/limits.rs
+++ b/src/ephemeral/limits.rs
@@ -2,15 +2,24 @@
 //!
 //! A caller without an answer resends its job after `resend`. By then no run of the first
 //! submission may be active. In the worst case the caller leaves just after its entry has checked
-//! its connection, the entry stops just before the next check, and the gate freezes just before
-//! its peer timeout. The run then ends with the worker's lease, measured on a possibly slow
-//! clock:
+//! its connection, the entry stops after it has decided its last frame, just before the next
+//! check, and the gate freezes just before its peer timeout. The run then ends with the worker's
+//! lease, measured on a possibly slow clock:
 //!
 //! ```text
 //! caller_check + peer_timeout + lease * MAX_CLOCK_SLOWDOWN + stop < resend
 //! ```
 //!
-//! `tests/ephemeral_safety.rs` fails if one of the terms is removed.
+//! - A frame carries the time of the turn that decided it, and the peer timeout counts from that
+//!   time. How long the frame waited and travelled is therefore not in the sum.
+//! - The gate grants a lease from the time of the turn that decided it, once it has ordered the
+//!   stop of all runs whose owner's peer timeout has passed by then.
+//! - What the sum leaves of `resend` must exceed the time that the end of a caller's connection
+//!   takes to its entry, plus that of the owner's fastest frame, by which the age of a frame is
+//!   estimated too low ([`super::frame_clock`]).
+//!
+//! `tests/ephemeral_safety.rs` fails if one of the terms is removed, or if silence counts from
+//! the arrival or the writing of frames.
 
 use std::time::Duration;
 
@@ -48,7 +57,8 @@
     /// Time without a frame after which a second connection is opened, as a connection may fail
     /// silently while the peer is alive.
     pub reconnect_after: Duration,
-    /// Time without a frame after which the peer of a session with work counts as lost.
+    /// Time without a frame after which the peer of a session with work counts as lost. A gate
+    /// counts it from the sending of the last frame.
     pub peer_timeout: Duration,
     /// Time without a frame after which the peer of a session without work counts as lost.
     pub idle_peer_timeout: Duration,
@@ -101,7 +111,7 @@
     }
 
     /// Longest time that a run continues after its caller has left, if its owner stops at the
-    /// same time.
+    /// same time; without the error in the estimated age of the owner's last frame.
     pub fn max_orphan_time(&self) -> Duration {
         self.caller_check + self.peer_timeout + self.lease.mul_f64(MAX_CLOCK_SLOWDOWN) + self.stop
     }
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -1,7 +1,7 @@
 //! Messages between entries and gates.
 //!
 //! A frame carries the messages queued for one session and the sender's monotonic clock, from
-//! which the receiver estimates the frame's age ([`super::session`]).
+//! which the receiver estimates the frame's age ([`super::frame_clock`]).
 
 use std::cmp::Ordering;
 use std::sync::Arc;
@@ -28,7 +28,8 @@
 /// Messages sent together.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Frame<M> {
-    /// Monotonic clock of the sender, in microseconds.
+    /// Time of the turn in which the sender decided the messages, on its monotonic clock, in
+    /// microseconds.
     pub sent_us: u64,
     /// The messages, in order.
     pub messages: Vec<M>,
--- a/tests/ephemeral_gate.rs
+++ b/tests/ephemeral_gate.rs
@@ -7,7 +7,10 @@
 use winghold::ephemeral::gate::GateAction;
 use winghold::ephemeral::job::{Priority, RunId};
 use winghold::ephemeral::message::{NotRunReason, OpenRun, RunEnd, ToGate};
-use winghold::ephemeral::worker::{PollCall, PollReply, StartReply, WorkerCallError, WorkerEnd};
+use winghold::ephemeral::session::SessionId;
+use winghold::ephemeral::worker::{
+    EndedRow, PollCall, PollReply, StartReply, WorkerCallError, WorkerEnd,
+};
 
 #[test]
 fn runs_beyond_worker_capacity_wait() {
@@ -155,6 +158,83 @@
     assert!(closed);
 }
 
+/// Otherwise a frame of an earlier connection that is read late ends an entry too early.
+#[test]
+fn older_frame_does_not_add_to_the_silence_of_an_entry() {
+    let mut bench = Bench::ready();
+    let before = bench.now;
+    bench.advance(200);
+    bench.order(run(1), 600, 100);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    bench.gate.frame_received(before, ENTRY);
+    bench.advance(450);
+    assert!(bench.stops().is_empty());
+    bench.advance(20);
+    assert_eq!(bench.stops(), [run(1)]);
+}
+
+/// Otherwise an entry counts as alive when its hello is read, however long that had waited.
+#[test]
+fn silence_after_a_slow_hello_counts_from_its_sending() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    let sent = bench.now;
+    bench.advance(200);
+    let open = OpenRun {
+        run: run(1),
+        sent_to: 1,
+        needs: resources(600),
+        expected_us: 100 * MS,
+    };
+    let hello = ToGate::Hello {
+        entry: process("e", 1),
+        config: 0,
+        open: vec![open],
+    };
+    bench.gate.handle_message(bench.now, ENTRY, hello);
+    bench.gate.frame_received(sent, ENTRY);
+    bench.advance(250);
+    assert!(bench.stops().is_empty());
+    bench.advance(10);
+    assert_eq!(bench.stops(), [run(1)]);
+}
+
+/// Otherwise a gate that was suspended starts what a dead entry had queued, on the next start of
+/// another entry, and notices only then that the first one is silent.
+#[test]
+fn queued_run_of_a_silent_entry_is_not_started_after_a_suspension() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 0);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    bench.order(run(2), 600, 5_000);
+    bench.now.mono_us += 1_200 * MS;
+    let call = bench.poll_call();
+    let ended = EndedRow {
+        number: 1,
+        run: run(1),
+        end: WorkerEnd::Done,
+    };
+    let reply = PollReply {
+        clock_ms: 6_200,
+        ended: vec![ended],
+        ..PollReply::default()
+    };
+    let (now, other) = (bench.now, SessionId(2));
+    bench.gate.poll_answered(now, now, &call, Ok(reply));
+    let hello = ToGate::Hello {
+        entry: process("f", 1),
+        config: 0,
+        open: Vec::new(),
+    };
+    bench.gate.handle_message(now, other, hello);
+    let order = bench.start_order(run(3), 100, 0);
+    bench.gate.handle_message(now, other, order);
+    bench.gate.frame_received(now, other);
+    bench.advance(0);
+    assert_eq!(bench.ordered(), [run(1), run(3)]);
+}
+
 #[test]
 fn entry_that_reconnects_in_time_keeps_its_runs() {
     let mut bench = Bench::ready();
