Gate: a queued run does not start after its patience in a turn that comes late

A task may start later than its entry allowed, after a pause of the agent.

Cause: a turn handles its events before timeouts. A start without patience starts what is queued at once, so after a pause it also started runs whose wait had long been over.

Change: what may start is checked for each run, its wait as well as its owner's silence.

--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -176,6 +176,11 @@
 }
 
 impl Run {
+    /// Whether it has been queued for longer than it may.
+    fn is_overdue(&self, now: Moment) -> bool {
+        matches!(self.state, RunState::Queued { until_us, .. } if until_us <= now.mono_us)
+    }
+
     /// Whether a start may have reached the worker.
     fn is_dispatched(&self) -> bool {
         !matches!(self.state, RunState::Queued { .. })
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -115,12 +115,7 @@
         if !open || !self.incarnation.as_ref().is_some_and(Incarnation::is_ready) {
             return;
         }
-        // `tick` may not have expired an owner that has been silent for too long. A run that
-        // arrived now did so in time.
-        let startable = |position: &&QueuePosition| {
-            let record = &self.runs[&position.run];
-            record.queued_or_started_us == now.mono_us || self.is_entry_alive(now, &record.owner)
-        };
+        let startable = |position: &&QueuePosition| self.may_start(now, position.run);
         let waiting: Vec<QueuePosition> = self.queue.iter().filter(startable).copied().collect();
         let mut blocked: Option<Priority> = None;
         for position in waiting {
@@ -141,6 +136,14 @@
         }
     }
 
+    /// Whether a queued run and its owner are in time, which `tick` may not have checked yet. A
+    /// run that arrived now did so in time.
+    fn may_start(&self, now: Moment, run: RunId) -> bool {
+        let record = &self.runs[&run];
+        let arrived_now = record.queued_or_started_us == now.mono_us;
+        arrived_now || !record.is_overdue(now) && self.is_entry_alive(now, &record.owner)
+    }
+
     /// Whether the run would leave the required headroom if it started now; `true` if none is
     /// required, even if there is no room for the run.
     fn fits_with_headroom(&self, now: Moment, position: &QueuePosition) -> bool {
@@ -207,8 +210,9 @@
 
     pub(super) fn expire_queued(&mut self, now: Moment) {
         let late = |run: &RunId| {
-            let state = self.runs.get(run).map(|record| record.state);
-            matches!(state, Some(RunState::Queued { until_us, .. }) if until_us <= now.mono_us)
+            self.runs
+                .get(run)
+                .is_some_and(|record| record.is_overdue(now))
         };
         let waiting = self.queue.iter().map(|position| position.run);
         let late: Vec<RunId> = waiting.filter(late).collect();
