Gate: no lease for a run whose stop stays unconfirmed

What callers saw: nothing seen on real machines; found while the same cause was looked for elsewhere. A task may run on at a worker that does not carry out stops, beside its next submission, for as long as other entries have runs there.

Cause: all runs of a worker share one lease. The sum in `Limits` ends a run by its lease at the latest, but the lease was renewed for the other runs while a stop was only repeated.

Ruled out: that repeating the stop is enough; an order may go unanswered any number of times.

Change: a run remembers when its owner last wanted it (the earliest time at which the stop can have been sent, or the owner's last frame). While the worker may have a run whose owner has not wanted it for the peer timeout, the lease is not renewed and nothing is started, as a start renews it too. So the term for a silent owner holds for withdrawn runs as well.

--- a/src/ephemeral/gate/answers.rs
+++ b/src/ephemeral/gate/answers.rs
@@ -64,7 +64,9 @@
                 // expires an owner that has been silent for too long.
                 self.is_entry_alive(now, &record.owner)
             });
-            let blocked = self.is_unresponsive(now) || self.evacuation.blocks_starts(now);
+            let blocked = self.is_unresponsive(now)
+                || self.evacuation.blocks_starts(now)
+                || self.has_overdue_stop(now);
             if unanswered && wanted && resent < MAX_START_RESENDS && !blocked {
                 info!(self.log, "start repeated"; "run" => %run, "resent" => resent + 1);
                 self.send_start(now, run, resent + 1);
@@ -192,8 +194,9 @@
         let lease = self.limits.lease;
         let unresponsive = self.is_unresponsive(now);
         let busy = !self.runs.is_empty();
-        // A run without an owner must not outlive the lease that its previous gate granted.
-        let orphans = !self.unclaimed.is_empty();
+        // A run without an owner must not outlive the lease that was granted before.
+        let overdue_stop = self.has_overdue_stop(now);
+        let orphans = !self.unclaimed.is_empty() || overdue_stop;
         let Some(incarnation) = &mut self.incarnation else {
             return;
         };
@@ -209,6 +212,9 @@
             renews.then(|| incarnation.grant_lease(now, lease))
         };
         if !self.poll_pending {
+            if overdue_stop {
+                debug!(self.log, "lease not renewed: a stop is unconfirmed");
+            }
             self.poll_pending = true;
             incarnation.poll_open = true;
             let call = PollCall {
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -169,6 +169,9 @@
     /// Time of the first attempt to start it; the time of arrival before, 0 if unknown.
     first_start_us: u64,
     state: RunState,
+    /// When its owner last wanted it, in monotonic microseconds, if the owner has withdrawn it or
+    /// is gone.
+    last_wanted_us: Option<u64>,
     /// Whether the worker has listed it as running.
     listed: bool,
     /// Progress at the last sample.
@@ -377,9 +380,11 @@
 
     /// Stops a run, or removes it from the queue.
     fn stop(&mut self, now: Moment, run: RunId, cause: StopCause) {
+        let last_wanted_us = self.last_wanted_us(now, cause);
         let Some(record) = self.runs.get_mut(&run) else {
             return;
         };
+        record.last_wanted_us = record.last_wanted_us.or(last_wanted_us);
         let began = match record.state {
             RunState::Queued { .. } => {
                 self.end(now, run, RunEnd::NotRun(NotRunReason::Withdrawn));
@@ -408,6 +413,25 @@
         self.send_stop(run);
     }
 
+    /// Earliest time at which the owner of a run may have sent what led to this stop, in monotonic
+    /// microseconds; `None` if the owner still wants the run.
+    fn last_wanted_us(&self, now: Moment, cause: StopCause) -> Option<u64> {
+        let age_us = match cause {
+            StopCause::Withdrawn | StopCause::NotClaimed => micros(self.limits.max_frame_age),
+            StopCause::EntryExpired { silent_us } => silent_us,
+            StopCause::Unanswered | StopCause::Stalled => return None,
+        };
+        Some(now.mono_us.saturating_sub(age_us))
+    }
+
+    /// Whether the worker may still have a run that its owner has not wanted for the peer timeout.
+    /// All runs share the lease, so renewing it would extend that run as well.
+    fn has_overdue_stop(&self, now: Moment) -> bool {
+        let peer_timeout_us = micros(self.limits.peer_timeout);
+        let mut last_wanted = self.runs.values().filter_map(|run| run.last_wanted_us);
+        last_wanted.any(|last_us| now.mono_us > last_us + peer_timeout_us)
+    }
+
     fn send_stop(&mut self, run: RunId) {
         if let Some(incarnation) = &self.incarnation {
             self.actions.push(GateAction::Stop(StopCall {
@@ -510,6 +534,7 @@
     fn load(&self, now: Moment) -> GateLoad {
         let usable = self.refusal(now).is_none()
             && self.unclaimed.is_empty()
+            && !self.has_overdue_stop(now)
             && self.incarnation.as_ref().is_some_and(Incarnation::is_ready);
         GateLoad {
             worker: self
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -65,6 +65,7 @@
             queued_or_started_us: now.mono_us,
             first_start_us: now.mono_us,
             state: RunState::Queued { position, until_us },
+            last_wanted_us: None,
             listed: false,
             last_sample: None,
         };
@@ -112,6 +113,8 @@
     /// wait as well, or large runs would starve.
     pub(super) fn start_queued(&mut self, now: Moment) {
         let open = self.refusal(now).is_none() && self.unclaimed.is_empty();
+        // A start renews the lease.
+        let open = open && !self.has_overdue_stop(now);
         if !open || !self.incarnation.as_ref().is_some_and(Incarnation::is_ready) {
             return;
         }
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -221,6 +221,7 @@
             queued_or_started_us: now.mono_us,
             first_start_us: 0,
             state,
+            last_wanted_us: None,
             listed: false,
             last_sample: None,
         };
