--- a/tests/ephemeral_ending_workers.rs
+++ b/tests/ephemeral_ending_workers.rs
@@ -100,29 +100,39 @@
     (0..3).for_each(|gate| fleet.start_gate(gate));
 }
 
+/// Runs one random case and checks its guarantees.
+fn run_random_case(seed: u64) -> Fleet {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut fleet = fleet(seed);
+    for _ in 0..FAULTS_PER_CASE {
+        fleet.submit(rng.random_range(1..4), 200 * MS);
+        inject_fault(&mut fleet, &mut rng);
+        fleet.run_for(rng.random_range(20..400) * MS);
+        if rng.random_range(0..3) == 0 {
+            start_gates(&mut fleet);
+        }
+    }
+    fleet.unanswered_percent = 0;
+    start_gates(&mut fleet);
+    fleet.run_for(60_000 * MS);
+    assert_no_violations(&fleet, seed);
+    assert_eq!(fleet.unanswered_without_losses(), 0, "seed {seed}");
+    assert!(fleet.running().is_empty(), "seed {seed}");
+    fleet
+}
+
 /// A run may be reported as ended too early only in combination with another fault, such as a
 /// restart of its gate or a lost start.
 #[test]
 fn guarantees_hold_while_workers_deregister_and_refuse_connections() {
-    let mut starts = 0;
-    for seed in 0..case_count() {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let mut fleet = fleet(seed);
-        for _ in 0..FAULTS_PER_CASE {
-            fleet.submit(rng.random_range(1..4), 200 * MS);
-            inject_fault(&mut fleet, &mut rng);
-            fleet.run_for(rng.random_range(20..400) * MS);
-            if rng.random_range(0..3) == 0 {
-                start_gates(&mut fleet);
-            }
-        }
-        fleet.unanswered_percent = 0;
-        start_gates(&mut fleet);
-        fleet.run_for(60_000 * MS);
-        assert_no_violations(&fleet, seed);
-        assert_eq!(fleet.unanswered_without_losses(), 0, "seed {seed}");
-        assert!(fleet.running().is_empty(), "seed {seed}");
-        starts += fleet.starts;
-    }
+    let starts: usize = (0..case_count())
+        .map(|seed| run_random_case(seed).starts)
+        .sum();
     assert!(starts > 1_000, "{starts} starts");
 }
+
+/// Guards against three runs that start beside others of their tasks within 80 ms.
+#[test]
+fn no_runs_overlap_in_a_random_case_of_refusing_workers() {
+    run_random_case(811);
+}
