Tests: log of the simulated fleet in virtual time

Which process decided what, and when, could not be read from anything. Ruled out: prints added by hand for each trace, as they are gone with the next fault. Change: EPHEMERAL_TRACE=1 writes the log lines of all dispatchers and gates, and the faults, starts and ends of the fleet, to standard error, each with its virtual time. Without the variable all lines are discarded as before; no draw of random numbers changes.

--- a/tests/ephemeral_fleet/crashes.rs
+++ b/tests/ephemeral_fleet/crashes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use slog::debug;
 use winghold::ephemeral::job::{JobId, RunId};
 use winghold::ephemeral::worker_id::WorkerId;
 
@@ -131,6 +132,7 @@
 
     /// Makes a worker refuse new connections for `for_us` while its runs continue.
     pub fn refuse_new_connections(&mut self, index: usize, for_us: u64) {
+        debug!(self.log, "worker refuses connections"; "worker" => index, "for_us" => for_us);
         self.workers[index].refuses_new_until_us = self.now_us + for_us;
     }
 
@@ -142,6 +144,7 @@
         if !self.workers[index].up {
             return;
         }
+        debug!(self.log, "worker deregistered"; "worker" => %worker_id, "lives_us" => lives_us);
         if let Some(process) = &mut self.gates[index] {
             process.gate.worker_left(now, &worker_id);
         }
--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -14,6 +14,7 @@
 mod entries;
 mod gates;
 mod orders;
+mod trace;
 pub mod worker;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -24,6 +25,8 @@
 use crashes::Crashes;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use slog::{Logger, debug};
+use trace::TraceClock;
 use winghold::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
 use winghold::ephemeral::frame_clock::FrameClocks;
 use winghold::ephemeral::gate::Gate;
@@ -36,7 +39,6 @@
     PollCall, StartAnswer, StartCall, StopCall, WorkerCallError, WorkerReport,
 };
 use winghold::ephemeral::worker_id::WorkerId;
-use winghold::logging;
 use winghold::time::Moment;
 use worker::FakeWorker;
 
@@ -176,6 +178,9 @@
 
 pub struct Fleet {
     pub now_us: u64,
+    trace: TraceClock,
+    /// Logs what happens to workers and the faults of processes.
+    log: Logger,
     limits: Limits,
     disabled: DisabledGuards,
     entries: Vec<Option<EntryProcess>>,
@@ -246,8 +251,11 @@
             };
             FakeWorker::new(id, capacity(4 + index as u64), clock_rate)
         };
+        let trace = TraceClock::default();
         let mut fleet = Fleet {
             now_us: 1_000_000,
+            log: trace.logger("fleet"),
+            trace,
             limits,
             disabled,
             entries: (0..3).map(|_| None).collect(),
@@ -319,7 +327,8 @@
             return;
         }
         let me = self.next_process_id(&format!("entry-{index}"));
-        let dispatcher = Dispatcher::new(me.clone(), self.limits, logging::discard());
+        let log = self.trace.logger(&me.name);
+        let dispatcher = Dispatcher::new(me.clone(), self.limits, log);
         self.entries[index] = Some(EntryProcess {
             id: me,
             clocks: FrameClocks::new(self.limits.max_frame_age),
@@ -339,7 +348,8 @@
             return;
         }
         let me = self.next_process_id(&format!("gate-{index}"));
-        let mut gate = Gate::new(me.clone(), self.limits, logging::discard());
+        let log = self.trace.logger(&me.name);
+        let mut gate = Gate::new(me.clone(), self.limits, log);
         gate.restore_losses(self.stored_losses[index].clone());
         gate.await_evacuation_state(self.gate_moment(index));
         self.gates[index] = Some(GateProcess {
@@ -378,6 +388,7 @@
     }
 
     pub fn kill_entry(&mut self, index: usize) {
+        debug!(self.log, "entry killed"; "entry" => index);
         let Some(entry) = self.entries[index].take() else {
             return;
         };
@@ -394,6 +405,7 @@
     }
 
     pub fn kill_gate(&mut self, index: usize) {
+        debug!(self.log, "gate killed"; "gate" => index);
         if self.gates[index].take().is_some() {
             self.close_connections(|connection| connection.gate == index, true);
             let own = self.connections.iter_mut().filter(|one| one.gate == index);
@@ -402,6 +414,7 @@
     }
 
     pub fn freeze_entry(&mut self, index: usize, for_us: u64) {
+        debug!(self.log, "entry frozen"; "entry" => index, "for_us" => for_us);
         let until_us = self.now_us + for_us;
         if let Some(entry) = &mut self.entries[index] {
             let before_us = entry.frozen_until_us;
@@ -411,6 +424,7 @@
     }
 
     pub fn freeze_gate(&mut self, index: usize, for_us: u64) {
+        debug!(self.log, "gate frozen"; "gate" => index, "for_us" => for_us);
         let until_us = self.now_us + for_us;
         if let Some(gate) = &mut self.gates[index] {
             let before_us = gate.frozen_until_us;
@@ -420,6 +434,7 @@
     }
 
     pub fn cut_entry(&mut self, index: usize, for_us: u64) {
+        debug!(self.log, "entry cut off"; "entry" => index, "for_us" => for_us);
         let until_us = self.now_us + for_us;
         if let Some(entry) = &mut self.entries[index] {
             entry.cut_until_us = until_us;
@@ -427,6 +442,7 @@
     }
 
     pub fn cut_gate(&mut self, index: usize, for_us: u64) {
+        debug!(self.log, "gate cut off"; "gate" => index, "for_us" => for_us);
         let until_us = self.now_us + for_us;
         if let Some(gate) = &mut self.gates[index] {
             gate.cut_until_us = until_us;
@@ -461,6 +477,7 @@
     }
 
     pub fn crash_worker(&mut self, index: usize) {
+        debug!(self.log, "worker crashed"; "worker" => %self.workers[index].id);
         self.record_crash(index);
         self.previous_workers[index] = Some(self.workers[index].id.clone());
         self.last_incarnation += 1;
@@ -512,12 +529,16 @@
         let until_us = self.now_us + span_us;
         while self.now_us < until_us {
             self.now_us += STEP_US;
+            self.trace.set(self.now_us);
             self.step_callers();
             self.carry_out_late_orders();
             self.step_crashes();
             for index in 0..self.workers.len() {
                 let now_us = self.now_us;
-                self.workers[index].advance(now_us);
+                for (run, end) in self.workers[index].advance(now_us) {
+                    debug!(self.log, "run ended on worker"; "run" => %run, "worker" => index,
+                        "end" => ?end);
+                }
             }
             self.dial();
             for index in 0..self.entries.len() {
--- a/tests/ephemeral_fleet/orders.rs
+++ b/tests/ephemeral_fleet/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to workers: answered, lost, or carried out late.
 
 use rand::RngExt;
+use slog::debug;
 use winghold::ephemeral::worker::{
     PollCall, StartAnswer, StartCall, StartReply, StopCall, WorkerCallError,
 };
@@ -156,6 +157,8 @@
             .iter()
             .any(|worker| worker.up && worker.runs(run.job, run.index));
         let (reply, began) = self.workers[index].start(self.now_us, call, work_us);
+        debug!(self.log, "start delivered"; "run" => %run, "worker" => %call.worker,
+            "reply" => ?reply, "began" => began, "work_us" => work_us);
         if !began {
             return reply;
         }
--- a/tests/ephemeral_fleet/worker.rs
+++ b/tests/ephemeral_fleet/worker.rs
@@ -99,8 +99,8 @@
         self.clock_started_us = now_us;
     }
 
-    /// Ends runs that are done, stopped or without a lease.
-    pub fn advance(&mut self, now_us: u64) {
+    /// Ends runs that are done, stopped or without a lease, and returns them.
+    pub fn advance(&mut self, now_us: u64) -> Vec<(RunId, WorkerEnd)> {
         let lapsed = self.clock_ms(now_us) > self.lease_until_ms;
         let mut finished = Vec::new();
         for (run, state) in &self.running {
@@ -113,13 +113,17 @@
                 _ => {}
             }
         }
-        for (run, end) in finished {
-            self.running.remove(&run);
-            self.bar(run);
+        for (run, end) in &finished {
+            self.running.remove(run);
+            self.bar(*run);
             self.last_end_number += 1;
-            let number = self.last_end_number;
-            self.ended.push(EndedRow { number, run, end });
+            self.ended.push(EndedRow {
+                number: self.last_end_number,
+                run: *run,
+                end: *end,
+            });
         }
+        finished
     }
 
     fn bar(&mut self, run: RunId) {
