Gate: keep claimed runs if their worker ends before it has listed them

Cause: a gate that restarts may first read a delayed report, or a stored record, of an incarnation that has been replaced. It adopted it, and once the real worker answered, ended all runs that its entries had claimed. Those runs were on the real worker, which the previous process of the gate had started them on, and continued there while the entries started them elsewhere. Evidence: EPHEMERAL_TRACE=1;/2#3 is started on w0-8, claimed at a gate that has adopted w0-0, ended with w0-0, and listed by w0-8 300 ms later. Ruled out: refused connections, deregistrations, lost orders (the trace has none between the claim and the end); a run that is really on the ended incarnation, as an incarnation that never listed its runs got no start from this process. Change: the runs of an incarnation that ends without a run list are kept for the next one, as after a restart under the same name. Its first list settles them; without a next worker they end when no lease can be in force. This holds for withdrawn runs as well, and for a refused connection to an outdated address.

--- a/src/ephemeral/gate/restart.rs
+++ b/src/ephemeral/gate/restart.rs
@@ -1,11 +1,15 @@
-//! Restart of a worker under the same name.
+//! Runs that are kept for the next incarnation of the worker.
 //!
-//! Calls address the worker by name, so a start meant for the previous incarnation may
+//! A worker may restart under the same name. Calls address the worker by name, so a start meant for the previous incarnation may
 //! reach the next one, which accepts it unless it has seen a higher fencing token. The runs
 //! of the previous incarnation are therefore kept until the next one has seen the gate's
 //! new token and listed its runs. Listed runs continue; the others end once the next
 //! incarnation has acknowledged a stop. A worker under another name rejects such calls
 //! itself.
+//!
+//! A gate that has restarted may adopt an incarnation that ended before, from a delayed report or
+//! an outdated record. The claimed runs are then on its successor, whatever its name, so they are
+//! kept as well if the incarnation ends before it has listed its runs.
 
 use slog::info;
 
@@ -61,9 +65,9 @@
         }
     }
 
-    /// Keeps the runs for the next incarnation of the same name. `may_have_lease` is whether
-    /// it may have accepted a lease renewal meant for the previous one. As its clock has
-    /// started anew, such a lease lasts longer on it, up to the maximum lease.
+    /// Keeps the runs for the next incarnation. `may_have_lease` is whether it may have accepted
+    /// a lease renewal meant for the previous one of the same name. As its clock has started
+    /// anew, such a lease lasts longer on it, up to the maximum lease.
     pub(super) fn begin_carry_over(&mut self, now: Moment, may_have_lease: bool) {
         let may_start = self.runs.values().any(Run::is_first_start_unanswered);
         let inherited_lease_us = match may_have_lease || may_start {
@@ -103,6 +107,7 @@
                 sent_us: 0,
                 acked_us: None,
             },
+            RunState::Claimed { began } => RunState::Claimed { began },
             _ => RunState::Claimed { began: true },
         };
     }
--- a/src/ephemeral/gate/worker_incarnations.rs
+++ b/src/ephemeral/gate/worker_incarnations.rs
@@ -304,6 +304,11 @@
         let Some(incarnation) = self.incarnation.take() else {
             return;
         };
+        if !incarnation.listed && self.carry_over.is_none() {
+            // Without a run list, claimed runs may be on another incarnation: this one may come
+            // from an outdated report or record.
+            self.begin_carry_over(now, false);
+        }
         let dispatched = self.runs.values().filter(|run| run.is_dispatched()).count();
         info!(self.log, "worker incarnation ended"; "worker" => %incarnation.traits.id,
             "why" => end.name(), "runs" => dispatched,
--- a/tests/ephemeral_worker_life.rs
+++ b/tests/ephemeral_worker_life.rs
@@ -6,7 +6,8 @@
 
 use gate_bench::*;
 use winghold::ephemeral::gate::GateAction;
-use winghold::ephemeral::message::{NotRunReason, RunEnd, ToGate};
+use winghold::ephemeral::job::RunId;
+use winghold::ephemeral::message::{NotRunReason, OpenRun, RunEnd, ToGate};
 use winghold::ephemeral::worker::{PollCall, StartReply, WorkerCallError, WorkerEnd, WorkerReport};
 
 #[test]
@@ -209,6 +210,82 @@
     assert_eq!(bench.worker(), "w2".into());
 }
 
+/// A gate that has restarted and whose entry claims `run(1)`. It takes the crashed incarnation
+/// "w0" for its worker, but "w" has the run.
+fn bench_with_claim_and_crashed_worker() -> Bench {
+    let mut bench = Bench::without_worker();
+    bench.gate.worker_report(bench.now, report("w0", false, 9));
+    bench.connect_entry(vec![OpenRun {
+        run: run(1),
+        sent_to: 9,
+        needs: resources(600),
+        expected_us: 100 * MS,
+    }]);
+    bench
+}
+
+/// Lists the runs of "w" after the gate has adopted it.
+fn list_runs_of_next(bench: &mut Bench, running: Vec<(RunId, u32)>) {
+    bench.actions.clear();
+    bench.gate.worker_report(bench.now, report("w", false, 1));
+    bench.collect();
+    bench.answer_first_poll();
+    bench.list_runs(running, Vec::new());
+}
+
+/// A restarted gate may read a delayed report of a crashed worker before one of its successor,
+/// which has the runs of the gate's previous incarnation. The end of the former proves nothing
+/// about them.
+#[test]
+fn claimed_runs_are_not_ended_with_a_worker_that_never_listed_them() {
+    let mut bench = bench_with_claim_and_crashed_worker();
+    bench.answer_other_incarnation();
+    assert_eq!(bench.ends(), [], "the next worker may have it");
+    list_runs_of_next(&mut bench, vec![(run(1), 50)]);
+    bench.order(run(2), 600, 0);
+    let no_room = RunEnd::NotRun(NotRunReason::NoRoom);
+    assert_eq!(bench.ends(), [(run(2), no_room)], "its capacity is in use");
+    bench.list_runs(Vec::new(), vec![(1, run(1), WorkerEnd::Done)]);
+    assert_eq!(bench.ends()[1..], [(run(1), RunEnd::Done)]);
+}
+
+/// As above, for an owner that has withdrawn its run, and will report that it has ended.
+#[test]
+fn withdrawn_claims_are_not_ended_with_a_worker_that_never_listed_them() {
+    let mut bench = bench_with_claim_and_crashed_worker();
+    let stop = ToGate::Stop { run: run(1) };
+    bench.gate.handle_message(bench.now, ENTRY, stop);
+    bench.answer_other_incarnation();
+    assert_eq!(bench.ends(), [], "the next worker may have it");
+    list_runs_of_next(&mut bench, vec![(run(1), 50)]);
+    bench.advance(200);
+    assert!(bench.stops().contains(&run(1)));
+    bench.list_runs(Vec::new(), vec![(1, run(1), WorkerEnd::Stopped)]);
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+}
+
+/// The address in an outdated record or report may refuse connections while the worker has
+/// another one.
+#[test]
+fn claimed_runs_outlive_a_worker_that_refuses_the_first_connection() {
+    let mut bench = bench_with_claim_and_crashed_worker();
+    bench
+        .actions
+        .retain(|action| !matches!(action, GateAction::Poll(_)));
+    fail_poll(&mut bench, false, WorkerCallError::Refused);
+    assert_eq!(bench.ends(), []);
+    assert_eq!(bench.last_load().worker, None);
+    for _ in 0..8 {
+        bench.gate.frame_received(bench.now, ENTRY);
+        bench.advance(100);
+    }
+    assert_eq!(
+        bench.ends(),
+        [(run(1), RunEnd::Stopped)],
+        "its lease has expired on any worker"
+    );
+}
+
 #[test]
 fn unresponsive_incarnation_is_replaced_after_its_leases_expire() {
     let mut bench = Bench::ready();
