Dispatcher: implicated tasks wait instead of sharing workers

Cause: tasks that a lost worker had are kept on separate workers, so that the next crash shows which of them is the cause. A gate rejects a second one, and the entry lifted the rule at gates that the task avoids. The rejection made the gate an avoided one. With more such tasks than gates, a task shared a worker within 30 ms, and a second crash made several of them its likely cause. Ruled out: a wrong age of the runs (20 and 10 ms are right); a crash of its own (the simulated task crashes nothing); two different crashing tasks. Change: such a rejection is no reason to avoid the gate. The entry marks the gate, tries it again after a quarter of a typical run, and the task waits meanwhile. It shares a worker once waiting longer would leave no time for another attempt. Admission ignores the rule, so that no job is refused because of it. No message changes.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -245,7 +245,8 @@
         }
         let mut waits = Vec::new();
         for index in 0..job.spec.count {
-            let choice = self.choose_gate(now, job, index);
+            // An admitted task may wait for a worker without another implicated one.
+            let choice = self.choose_gate(now, job, index, false);
             let Some(choice) = choice else {
                 break;
             };
--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -328,8 +328,11 @@
             return;
         };
         gate.remove_run(now, run);
-        if end == RunEnd::NotRun(NotRunReason::NoRoom) {
-            gate.mark_full(self.typical_run.us());
+        let typical_us = self.typical_run.us();
+        match end {
+            RunEnd::NotRun(NotRunReason::NoRoom) => gate.mark_full(typical_us),
+            RunEnd::NotRun(NotRunReason::Apart) => gate.mark_implicated(now, typical_us),
+            _ => {}
         }
     }
 }
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -41,6 +41,8 @@
     pub capacity_rejections: u32,
     /// Times it was moved for being slow.
     pub moves: u32,
+    /// Whether a gate rejected it because of another implicated task.
+    pub rejected_apart: bool,
     /// Gates where a run did not succeed.
     pub avoided_gates: Vec<Arc<str>>,
 }
@@ -91,6 +93,7 @@
             failures: 0,
             capacity_rejections: 0,
             moves: 0,
+            rejected_apart: false,
             avoided_gates: Vec::new(),
         };
         Job {
--- a/src/ephemeral/dispatcher/losses.rs
+++ b/src/ephemeral/dispatcher/losses.rs
@@ -3,6 +3,10 @@
 //! A gate reports the tasks that its worker had when it was lost. If the gate is lost as
 //! well, the entry that sent the tasks reports them once a new gate of that name has
 //! another worker.
+//!
+//! A task that a lost worker had is implicated. Implicated tasks are kept on separate workers.
+//! Otherwise one that crashes its worker would implicate the others again, and several would seem
+//! to be the cause. If there are more of them than workers, they wait for one another.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -12,7 +16,7 @@
 use super::job::Job;
 use super::{DispatchAction, Dispatcher, failed};
 use crate::code::{Effect, ResultCode};
-use crate::ephemeral::job::JobId;
+use crate::ephemeral::job::{JobId, RunId};
 use crate::ephemeral::losses::{OrphanedTasks, WorkerLoss};
 use crate::ephemeral::message::ToGate;
 use crate::ephemeral::worker_id::WorkerId;
@@ -93,20 +97,29 @@
             .retain(|_, orphaned_tasks| !orphaned_tasks.is_expired(now));
     }
 
-    /// Gates with an implicated task, one that a lost worker had; empty if task `index` of
-    /// `job` is not implicated itself.
-    ///
-    /// Implicated tasks are kept on separate workers, so that a task that crashes its
-    /// worker does not implicate the others again.
-    pub(super) fn gates_with_implicated(&self, job: &Job, index: u32) -> HashSet<Arc<str>> {
-        let implicated = |job: JobId, index: u32| self.losses.count(job, index) > 0;
-        if !implicated(job.spec.id, index) {
-            return HashSet::new();
-        }
+    /// Whether a lost worker had task `index` of `job`.
+    pub(super) fn is_implicated(&self, job: &Job, index: u32) -> bool {
+        self.losses.count(job.spec.id, index) > 0
+    }
+
+    /// Whether a gate is to reject task `index` of `job` if it has another implicated task. It is
+    /// not any more when the task has been rejected so and cannot wait.
+    pub(super) fn must_run_apart(&self, now: Moment, job: &Job, index: u32) -> bool {
+        let task = job.tasks.get(index as usize);
+        let was_rejected = task.is_some_and(|task| task.rejected_apart);
+        self.is_implicated(job, index) && (may_wait_apart(now, job) || !was_rejected)
+    }
+
+    /// Gates with an implicated task; those of other entries are known from rejected starts.
+    pub(super) fn gates_with_implicated(&self, now: Moment, job: &Job) -> HashSet<Arc<str>> {
+        let implicated = |run: &RunId| self.losses.count(run.job, run.index) > 0;
         let open = self.jobs.values().chain(std::iter::once(job));
         let placed = open.flat_map(Job::placed_runs);
-        let placed_implicated = placed.filter(|(_, run)| implicated(run.job, run.index));
-        placed_implicated.map(|(gate, _)| gate.clone()).collect()
+        let own = placed.filter(|(_, run)| implicated(run));
+        let own = own.map(|(gate, _)| gate.clone());
+        let of_others = self.gates.iter();
+        let of_others = of_others.filter(|(_, gate)| gate.is_implicated(now));
+        own.chain(of_others.map(|(name, _)| name.clone())).collect()
     }
 
     /// Answer for a job that is given up because of worker losses.
@@ -126,3 +139,9 @@
         })
     }
 }
+
+/// Whether the tasks of a job have time to wait for workers without implicated tasks. They need
+/// the rest for one more attempt.
+pub(super) fn may_wait_apart(now: Moment, job: &Job) -> bool {
+    job.patience_us(now.mono_us) > job.expected_us
+}
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -20,7 +20,7 @@
 mod progress;
 mod typical_run;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +48,7 @@
 use fair_shares::FairShares;
 use job::{Job, TaskState};
 use lag::Lag;
+use losses::may_wait_apart;
 use typical_run::TypicalRun;
 
 /// How long the answers of finished jobs are kept for callers that submit again.
@@ -263,7 +264,8 @@
         let Some(job) = self.jobs.remove(&id) else {
             return true;
         };
-        let choice = self.choose_gate(now, &job, index);
+        let choice = self.choose_gate(now, &job, index, may_wait_apart(now, &job));
+        let runs_apart = self.must_run_apart(now, &job, index);
         self.jobs.insert(id, job);
         let Some(choice) = choice else {
             return false;
@@ -284,11 +286,6 @@
             return false;
         }
         let task = &mut job.tasks[index as usize];
-        // A gate accepts only one implicated task at a time. A gate that the task avoids is
-        // chosen only if there is no other; the limit is lifted there, or the task would
-        // never start.
-        let implicated =
-            self.losses.count(id, index) > 0 && !task.avoided_gates.contains(&choice.gate);
         task.runs += 1;
         let capacity_rejections = task.capacity_rejections;
         let movable = task.moves < MAX_MOVES;
@@ -318,7 +315,7 @@
             due_us: job.latest_begin_us().saturating_sub(now.mono_us),
             expected_us: job.expected_us,
             movable,
-            implicated,
+            implicated: runs_apart,
             number: gate.record_start(now, run, job.spec.needs),
         };
         slog::debug!(self.log, "task sent"; "run" => %run, "gate" => &*choice.gate,
@@ -331,7 +328,15 @@
         true
     }
 
-    fn choose_gate(&mut self, now: Moment, job: &Job, index: u32) -> Option<Choice> {
+    /// Chooses the gate for a task. `waits_apart` is whether an implicated task is to wait if all
+    /// gates have another one.
+    fn choose_gate(
+        &mut self,
+        now: Moment,
+        job: &Job,
+        index: u32,
+        waits_apart: bool,
+    ) -> Option<Choice> {
         let task = job.tasks.get(index as usize)?;
         let max_on_worker = job.spec.constraints.max_per_worker as usize;
         let at_task_limit = |name: &Arc<str>| {
@@ -351,17 +356,21 @@
                 && !at_task_limit(name)
         };
         let request = self.placement_request(now, job);
-        let implicated = self.gates_with_implicated(job, index);
-        let untried = |(name, _): &(&Arc<str>, &GateView)| {
-            !task.avoided_gates.contains(name) && !implicated.contains(*name)
+        let implicated = self.is_implicated(job, index);
+        let occupied = match implicated {
+            true => self.gates_with_implicated(now, job),
+            false => HashSet::new(),
         };
-        let others = self.gates.iter().filter(allowed).filter(untried);
-        let choice = self.placer.choose(others, &request);
+        let apart = |gate: &(&Arc<str>, &GateView)| allowed(gate) && !occupied.contains(gate.0);
+        let untried = |(name, _): &(&Arc<str>, &GateView)| !task.avoided_gates.contains(*name);
+        let (placer, gates) = (&mut self.placer, &self.gates);
+        let choice = placer.choose(gates.iter().filter(apart).filter(untried), &request);
         // If every gate has been tried, fall back to one that was tried.
-        choice.or_else(|| {
-            self.placer
-                .choose(self.gates.iter().filter(allowed), &request)
-        })
+        let choice = choice.or_else(|| placer.choose(gates.iter().filter(apart), &request));
+        if choice.is_some() || !implicated || waits_apart {
+            return choice;
+        }
+        placer.choose(gates.iter().filter(allowed), &request)
     }
 
     fn placement_request<'a>(&self, now: Moment, job: &'a Job) -> PlacementRequest<'a> {
--- a/src/ephemeral/dispatcher/progress.rs
+++ b/src/ephemeral/dispatcher/progress.rs
@@ -85,6 +85,7 @@
         task.moves += u32::from(end == RunEnd::Stalled);
         match end {
             RunEnd::NotRun(NotRunReason::NoRoom) => task.capacity_rejections += 1,
+            RunEnd::NotRun(NotRunReason::Apart) => task.rejected_apart = true,
             RunEnd::NotRun(NotRunReason::Rejected | NotRunReason::Lost) => {}
             _ => task.avoided_gates.push(gate.clone()),
         }
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -48,6 +48,9 @@
 /// Expected wait at a gate that rejected a start although its load showed room, in typical
 /// run times.
 const FULL_GATE_WAIT: f64 = 0.125;
+/// Number of attempts, during a typical run, to place an implicated task at a gate that has one of
+/// another entry.
+const APART_RETRIES_PER_RUN: u64 = 4;
 /// Factor on the run time of a task away from its data.
 const DEFAULT_REMOTE_DATA_FACTOR: f64 = 1.5;
 
@@ -94,6 +97,9 @@
     pub overdue: bool,
     /// CPU reserved by a tentative placement, in thousandths of a core.
     reserved_cpu_milli: u64,
+    /// Until when it counts as having an implicated run of another entry, in monotonic
+    /// microseconds.
+    implicated_until_us: u64,
 }
 
 impl GateView {
@@ -115,6 +121,7 @@
             connected_us: now_us,
             overdue: false,
             reserved_cpu_milli: 0,
+            implicated_until_us: 0,
         }
     }
 
@@ -232,6 +239,17 @@
         }
     }
 
+    /// Marks the gate as having an implicated run of another entry, after it rejected one. It is
+    /// tried again after part of a typical run, as the other run may have ended by then.
+    pub fn mark_implicated(&mut self, now: Moment, typical_us: u64) {
+        self.implicated_until_us = now.mono_us + typical_us / APART_RETRIES_PER_RUN;
+    }
+
+    /// Whether it counts as having an implicated run of another entry.
+    pub fn is_implicated(&self, now: Moment) -> bool {
+        now.mono_us < self.implicated_until_us
+    }
+
     /// Whether the gate takes work now.
     pub fn is_open(&self) -> bool {
         self.session.is_some() && self.load.worker.is_some() && !self.load.leaving
--- a/tests/ephemeral_losses.rs
+++ b/tests/ephemeral_losses.rs
@@ -12,7 +12,7 @@
 use winghold::ephemeral::directory::GateRecord;
 use winghold::ephemeral::dispatcher::DispatchAction;
 use winghold::ephemeral::gate::GateAction;
-use winghold::ephemeral::job::{JobId, JobSpec};
+use winghold::ephemeral::job::{JobId, JobSpec, RunId};
 use winghold::ephemeral::losses::{AbandonedTask, LossLog, WorkerLoss};
 use winghold::ephemeral::message::{GateLoad, NotRunReason, RunEnd, ToEntry, ToGate, WorkerTraits};
 use winghold::ephemeral::session::SessionId;
@@ -494,6 +494,86 @@
     assert_eq!(next.len(), 3, "{:?}", bench.starts);
 }
 
+/// Jobs 1 to `count`, whose tasks a lost worker had, and their next starts.
+fn implicated_jobs(bench: &mut EntryBench, count: u64) -> Vec<(SessionId, RunId)> {
+    for id in 1..=count {
+        let spec = JobSpec {
+            needs: cpu(100),
+            ..job(id, 1)
+        };
+        bench.submit(id, spec, 0);
+    }
+    let first = std::mem::take(&mut bench.starts);
+    let losses = (1..=count).map(|id| loss(id, "w-1", true)).collect();
+    bench.deliver(first[0].0.0, ToEntry::Losses(losses));
+    for start in first {
+        bench.end_run(start, RunEnd::Stopped);
+    }
+    std::mem::take(&mut bench.starts)
+}
+
+/// Whether the latest start is to be rejected by a gate with another implicated task.
+fn latest_start_runs_apart(bench: &EntryBench) -> bool {
+    let orders = bench.actions.iter().filter_map(|action| match action {
+        DispatchAction::Send {
+            message: ToGate::Start(order),
+            ..
+        } => Some(order.implicated),
+        _ => None,
+    });
+    orders.last().expect("a start")
+}
+
+/// Otherwise the task that crashes workers takes the others with it again, and several of them
+/// are failed as the cause.
+#[test]
+fn implicated_tasks_wait_for_one_another_if_there_are_more_of_them_than_workers() {
+    let mut bench = EntryBench::new(2);
+    let next = implicated_jobs(&mut bench, 3);
+    assert_eq!(next.len(), 2, "{next:?}");
+    assert_ne!(next[0].0, next[1].0);
+    bench.advance(20);
+    assert!(bench.starts.is_empty());
+    bench.end_run(next[0], RunEnd::Done);
+    bench.advance(5);
+    assert_eq!(bench.starts.len(), 1);
+    assert_eq!(bench.starts[0].0, next[0].0);
+    assert!(latest_start_runs_apart(&bench));
+}
+
+/// A gate with an implicated task of another entry must neither share its worker with one of this
+/// entry, nor be asked again and again.
+#[test]
+fn gate_that_rejects_an_implicated_task_is_tried_again_later() {
+    let mut bench = EntryBench::new(1);
+    let start = implicated_jobs(&mut bench, 1)[0];
+    let apart = RunEnd::NotRun(NotRunReason::Apart);
+    bench.end_run(start, apart);
+    for _ in 0..4 {
+        bench.load(1, load(1_000, 0));
+        bench.advance(5);
+        assert!(bench.starts.is_empty());
+    }
+    bench.advance_connected(200);
+    assert_eq!(bench.starts.len(), 1);
+    assert!(latest_start_runs_apart(&bench));
+}
+
+/// Otherwise the task would wait for a worker of its own until its deadline.
+#[test]
+fn implicated_task_shares_a_worker_while_time_is_left_for_another_attempt() {
+    let mut bench = EntryBench::new(1);
+    let mut start = implicated_jobs(&mut bench, 1)[0];
+    let deadline_us = bench.now.mono_us + 2_000 * MS;
+    while latest_start_runs_apart(&bench) {
+        bench.end_run(start, RunEnd::NotRun(NotRunReason::Apart));
+        bench.advance_connected(100);
+        start = bench.starts.pop().unwrap_or(start);
+    }
+    let left_us = deadline_us - bench.now.mono_us;
+    assert!((100 * MS..400 * MS).contains(&left_us), "{left_us} us");
+}
+
 #[test]
 fn repeated_report_of_a_loss_counts_once() {
     let mut bench = entry_with_start();
