Gates announce that they take work; entries refuse for evacuation only if they know all gates

Cause: two, both in what an entry takes for the whole fleet. - A gate reports a changed load to entries with runs there in turn, and to others with the next regular report, up to 1.2 s later. Meanwhile an entry refused. - An entry that has just started and has connected to one gate, which is evacuated, took all gates for evacuated. Evidence: the entry's log of the failing runs (job over, with one gate connected); in virtual time, an idle entry gets no load when the evacuation ends. Change: a gate sends its load to all entries when it begins or ceases to take work or its capacity changes, at most once per heartbeat interval. The two parts are one commit, as the test needs both.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -77,7 +77,7 @@
     /// Checks whether a job can be served in time.
     fn admit(&mut self, now: Moment, job: &Job) -> Result<(), Denial> {
         if !self.gates.values().any(GateView::is_open) {
-            return Err(match self.all_evacuated() {
+            return Err(match self.all_evacuated(now) {
                 true => Denial::Answer(refused(EVACUATED, NO_WORKER_RETRY_AFTER_MS)),
                 false => Denial::NoGate,
             });
@@ -164,11 +164,13 @@
         wait_ms + self.rng.random_range(0..wait_ms)
     }
 
-    /// Whether all connected gates are in evacuated failure domains.
-    fn all_evacuated(&self) -> bool {
+    /// Whether all gates are in evacuated failure domains. One without a session, or one whose
+    /// record has not been read yet, may be in another domain.
+    fn all_evacuated(&self, now: Moment) -> bool {
         let mut connected = self.gates.values().filter(|gate| gate.session.is_some());
         let some = connected.clone().next().is_some();
         some && connected.all(|gate| gate.load.evacuated)
+            && !self.subset.may_have_available_gate(now)
     }
 
     /// Priority whose recorded waits apply to this job; one for all jobs without priority
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -9,6 +9,7 @@
 //! that has been silent for too long are stopped. A restarted gate starts nothing until each
 //! listed run has been claimed by its entry or has ended.
 
+mod announcement;
 mod answers;
 mod config;
 mod evacuation;
@@ -44,6 +45,7 @@
 use crate::ephemeral::worker::{PollCall, StartCall, StopCall};
 use crate::ephemeral::worker_id::WorkerId;
 use crate::time::{Moment, micros};
+use announcement::Announcement;
 use evacuation::Evacuation;
 use headroom::HeadroomEstimator;
 use health::Health;
@@ -282,6 +284,7 @@
     /// Whether this gate refuses new runs, as set by [`Gate::leave`].
     leaving: bool,
     evacuation: Evacuation,
+    announcement: Announcement,
     /// Whether the load has changed since the entries' reports were last marked as outdated.
     load_changed: bool,
     /// Time of the last load report that was sent without another reason than a changed load,
@@ -328,6 +331,7 @@
             poll_disconnected_us: None,
             leaving: false,
             evacuation: Evacuation::default(),
+            announcement: Announcement::default(),
             load_changed: false,
             load_sent_us: 0,
             actions: Vec::new(),
@@ -531,17 +535,21 @@
         }
     }
 
-    fn load(&self, now: Moment) -> GateLoad {
-        let usable = self.refusal(now).is_none()
+    /// Whether runs can start now.
+    fn takes_work(&self, now: Moment) -> bool {
+        self.refusal(now).is_none()
             && self.unclaimed.is_empty()
             && !self.has_overdue_stop(now)
-            && self.incarnation.as_ref().is_some_and(Incarnation::is_ready);
+            && self.incarnation.as_ref().is_some_and(Incarnation::is_ready)
+    }
+
+    fn load(&self, now: Moment) -> GateLoad {
         GateLoad {
             worker: self
                 .incarnation
                 .as_ref()
                 .map(|incarnation| incarnation.traits.clone()),
-            free: match usable {
+            free: match self.takes_work(now) {
                 true => self.room.free(),
                 false => Resources::default(),
             },
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -3,7 +3,6 @@
 use slog::{debug, info};
 
 use super::headroom::Candidate;
-use super::incarnation::Incarnation;
 use super::{EndedRun, Gate, GateAction, ProgressSample, Run, RunState};
 use crate::ephemeral::job::{Priority, RunId};
 use crate::ephemeral::message::{NotRunReason, ProcessId, QueueLoad, RunEnd, StartOrder, ToEntry};
@@ -112,10 +111,8 @@
     /// Starts queued runs that fit, in queue order. If a run does not fit, less urgent ones
     /// wait as well, or large runs would starve.
     pub(super) fn start_queued(&mut self, now: Moment) {
-        let open = self.refusal(now).is_none() && self.unclaimed.is_empty();
-        // A start renews the lease.
-        let open = open && !self.has_overdue_stop(now);
-        if !open || !self.incarnation.as_ref().is_some_and(Incarnation::is_ready) {
+        // A start renews the lease, so there is none while a stop is overdue.
+        if !self.takes_work(now) {
             return;
         }
         let startable = |position: &&QueuePosition| self.may_start(now, position.run);
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -313,17 +313,21 @@
         }
     }
 
-    /// Sends load reports: along with other messages, to confirm a start, as a heartbeat,
-    /// and in turn to busy entries when the load has changed.
+    /// Sends load reports: along with other messages, to confirm a start, as a heartbeat, to all
+    /// entries as an announcement, and in turn to busy entries when the load has changed.
     pub(super) fn send_loads(&mut self, now: Moment) {
         self.update_entries(now);
+        let announced = self.take_announcement(now);
         let recipients: HashSet<SessionId> = self.actions.iter().filter_map(recipient).collect();
         let mut due: Vec<ProcessId> = Vec::new();
         for (entry, state) in &self.entries {
             let with_others = state
                 .session
                 .is_some_and(|session| recipients.contains(&session));
-            if with_others && state.stale || now.mono_us >= self.load_due_us(now, state) {
+            if announced
+                || with_others && state.stale
+                || now.mono_us >= self.load_due_us(now, state)
+            {
                 due.push(entry.clone());
             }
         }
--- a/src/ephemeral/gate/worker_incarnations.rs
+++ b/src/ephemeral/gate/worker_incarnations.rs
@@ -97,6 +97,7 @@
             incarnation.traits = Arc::new(record.traits.clone());
             self.room.resize(report.capacity);
             self.load_changed = true;
+            self.announcement.record_capacity_change();
             self.actions.push(GateAction::SetWorker(record));
         }
         if report.leaving && !incarnation.leaving {
--- a/src/ephemeral/subset.rs
+++ b/src/ephemeral/subset.rs
@@ -35,6 +35,9 @@
 const MAX_KINDS: usize = 64;
 /// Interval between two choices while only the demand changes.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(200);
+/// How long after the first records further gates may be missing, as the agents of a deployment
+/// start together with its entries.
+const DISCOVERY_PERIOD: Duration = Duration::from_secs(3);
 
 /// Kind of jobs that can run on the same workers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -124,6 +127,8 @@
     unavailable: HashSet<Arc<str>>,
     /// Whether there may be gates that are not known yet.
     may_miss_gates: bool,
+    /// Time of the first records, in monotonic microseconds.
+    first_update_us: Option<u64>,
     demands: HashMap<JobKind, Demand>,
     wanted: HashSet<Arc<str>>,
     choice_due: bool,
@@ -138,6 +143,7 @@
             candidates: BTreeMap::new(),
             unavailable: HashSet::new(),
             may_miss_gates: false,
+            first_update_us: None,
             demands: HashMap::new(),
             wanted: HashSet::new(),
             choice_due: false,
@@ -152,6 +158,7 @@
     /// Applies changes of the gates' records.
     pub fn update(&mut self, now: Moment, changes: &GateChanges) {
         self.may_miss_gates = changes.partial;
+        self.first_update_us.get_or_insert(now.mono_us);
         for gate in &changes.removed {
             let rank = self.rank(gate);
             if let Some(candidate) = self.candidates.get_mut(&rank) {
@@ -272,6 +279,16 @@
         self.candidates.contains_key(&self.rank(gate))
     }
 
+    /// Whether some gate may take work: one that is not known to be unavailable, or one whose
+    /// record has not been read.
+    pub fn may_have_available_gate(&self, now: Moment) -> bool {
+        let mut names = self.candidates.values().map(|candidate| &candidate.name);
+        let first_us = self.first_update_us;
+        let discovers =
+            first_us.is_some_and(|first_us| now.mono_us < first_us + micros(DISCOVERY_PERIOD));
+        discovers || self.may_miss_gates || names.any(|name| !self.unavailable.contains(name))
+    }
+
     /// Whether the workers of the fleet can run a task.
     pub fn feasibility(&self, request: &PlacementRequest<'_>) -> Feasibility {
         let workers = || {
