Gate: the first time that a gate takes work is not announced

Change: announcements begin once the gate has taken work or has been evacuated. What they are for is unchanged: evacuations that begin and end, workers that leave and return, changes of capacity. Idle entries hear of a gate's first readiness as late as before.

--- a/src/ephemeral/gate/announcement.rs
+++ b/src/ephemeral/gate/announcement.rs
@@ -3,7 +3,8 @@
 //!
 //! Entries without runs here get regular load reports at long intervals, and entries with runs get
 //! them in turn. Without an announcement, an entry would refuse jobs that the gate takes, or send
-//! tasks that the gate returns.
+//! tasks that the gate returns. The first time that a gate takes work is not announced, unless it
+//! has been evacuated before.
 
 use super::Gate;
 use crate::time::{Moment, micros};
@@ -13,6 +14,8 @@
 pub(super) struct Announcement {
     /// Whether the gate took work at the last announcement.
     takes_work: bool,
+    /// Whether the gate has taken work or has been evacuated since its start.
+    is_active: bool,
     /// Whether the capacity has changed since.
     capacity_changed: bool,
     /// Time of the last announcement, in monotonic microseconds.
@@ -24,6 +27,11 @@
     pub(super) fn record_capacity_change(&mut self) {
         self.capacity_changed = true;
     }
+
+    /// Records that the gate is evacuated, so that the end of the evacuation is announced.
+    pub(super) fn record_evacuation(&mut self) {
+        self.is_active = true;
+    }
 }
 
 impl Gate {
@@ -35,6 +43,11 @@
         if takes_work == announced.takes_work && !announced.capacity_changed {
             return false;
         }
+        if !announced.is_active {
+            self.announcement.is_active = takes_work;
+            self.announcement.takes_work = takes_work;
+            return false;
+        }
         let interval_us = micros(self.limits.heartbeat_interval);
         if announced
             .sent_us
@@ -44,6 +57,7 @@
         }
         self.announcement = Announcement {
             takes_work,
+            is_active: true,
             capacity_changed: false,
             sent_us: Some(now.mono_us),
         };
--- a/src/ephemeral/gate/evacuation.rs
+++ b/src/ephemeral/gate/evacuation.rs
@@ -55,6 +55,7 @@
         self.evacuation = next;
         self.load_changed = true;
         if evacuated {
+            self.announcement.record_evacuation();
             self.refuse_queued(now, NotRunReason::Evacuated);
         }
     }
--- a/tests/ephemeral_heavy_load.rs
+++ b/tests/ephemeral_heavy_load.rs
@@ -76,12 +76,7 @@
 #[test]
 fn goodput_above_capacity_stays_above_its_bounds() {
     assert!(goodput_at(FULL_LOAD * 0.95) > 1_130.0);
+    assert!(goodput_at(FULL_LOAD * 1.24) > 815.0);
     assert!(goodput_at(FULL_LOAD * 1.86) > 425.0);
     assert!(goodput_at(FULL_LOAD * 3.1) > 410.0);
 }
-
-/// As above, a quarter above capacity.
-#[test]
-fn goodput_a_quarter_above_capacity_stays_above_its_bound() {
-    assert!(goodput_at(FULL_LOAD * 1.24) > 815.0);
-}
