Review: case 3, a restarted agent fills its worker beyond its room (LIMIT)

An agent acknowledges a report of less room while the store is silent, is killed and started again, takes the old room from its record and starts tasks up to twice what the worker has. Tried: review/3/run.sh, the real programs, 1 entry, 3 agents, stand-ins of the store, workers and callers.

--- a/review/lib/site_load.py
+++ b/review/lib/site_load.py
@@ -7,7 +7,7 @@
 # Prefixes of the queues, by priority, as in the deployments' own configurations.
 URGENT, NORMAL, LESS_URGENT = "/lohu930/", "/pule252/", "/pufi791/"
 PRIORITIES = {URGENT: 0, LESS_URGENT: 2, NORMAL: 1}
-# How long callers wait, and the time-out of the routes; the bench's callers wait up to 12.5 s.
+# How long callers wait, and the time-out of the routes; the bench's callers wait up to 16 s.
 DEADLINE_MS, TIMEOUT_MS = 12000, 13000
 # Three workers: 30 tasks of 1.6 cores fill them.
 WORKERS, CPU = 3, 16000
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -163,9 +163,15 @@
         self.leases = {}
         self.next_lease = 77000
         self.changed = asyncio.Event()
+        # Whether it gives no answer at all.
+        self.silent = False
 
     async def start(self):
-        self.server = await serve_http(self.ip, STORE, self.answer)
+        self.server = await serve_http(self.ip, STORE, self.answer_or_silence)
+
+    async def answer_or_silence(self, *call):
+        reply = None if self.silent else await self.answer(*call)
+        return None if self.silent else reply
 
     def operator_put(self, key, value):
         """A write of the operator; returning is its ack."""
@@ -273,7 +279,8 @@
 class Worker:
     """A minion: runs what it is told under a lease, and lists what runs and what has ended.
 
-    The `spec` of a job is JSON with `work_ms`, the time that each of its tasks takes.
+    The `spec` of a job is JSON with `work_ms`, the time that each of its tasks takes, and
+    `cpu`, what each uses. It starts whatever it is told (`rejects_overload` false).
     """
 
     def __init__(self, record, name, ip, zone, cpu, labels):
@@ -292,6 +299,10 @@
         self.changed = asyncio.Event()
         # Starts and ends for the check: (seconds, task, run) and (seconds, task, run, how).
         self.starts, self.end_log = [], []
+        # Starts beyond the capacity, as (seconds, cpu in use with it, capacity).
+        self.overfull = []
+        # Capacity of the last acknowledged report, and when it was acknowledged.
+        self.acked_cpu, self.acked_s = None, None
 
     def clock_ms(self):
         return int((time.monotonic() - self.began) * 1e3)
@@ -315,6 +326,8 @@
             except asyncio.TimeoutError:
                 answer = None
             acked = answer is not None and 200 <= answer[0] < 300
+            if acked:
+                self.acked_cpu, self.acked_s = body["capacity"]["cpu"], self.record.now()
             await asyncio.sleep(HEARTBEAT_S if acked else 0.25)
 
     async def work(self):
@@ -376,10 +389,13 @@
             return 200, {"clock_ms": self.clock_ms()}
         if task in self.runs or number <= self.over.get(task, 0):
             return self.refuse("old")
-        work_s = json.loads(body["spec"])["work_ms"] / 1e3
-        self.runs[task] = {"run": number, "since": time.monotonic(), "work_s": work_s,
-                           "stop_at": None}
+        spec = json.loads(body["spec"])
+        self.runs[task] = {"run": number, "since": time.monotonic(), "stop_at": None,
+                           "work_s": spec["work_ms"] / 1e3, "cpu": spec["cpu"]}
         self.starts.append((self.record.now(), task, number))
+        used = sum(run["cpu"] for run in self.runs.values())
+        if used > self.capacity["cpu"]:
+            self.overfull.append((self.record.now(), used, self.capacity["cpu"]))
         self.record.note(self.name, "started", task=task, run=number)
         return 200, {"clock_ms": self.clock_ms()}
 
@@ -552,8 +568,8 @@
 def job(tasks, work_ms, cpu=1600):
     """Body of a best-effort job whose tasks each take `work_ms`."""
     step = {"count": tasks, "cpu": cpu, "mem_mb": 64, "estimate_ms": work_ms}
-    body = {"spec": json.dumps({"work_ms": work_ms}), "best_effort": True, "steps": [step]}
-    return json.dumps(body).encode()
+    spec = json.dumps({"work_ms": work_ms, "cpu": cpu})
+    return json.dumps({"spec": spec, "best_effort": True, "steps": [step]}).encode()
 
 
 class Request:
