--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,86 +1,62 @@
-"""LIMIT: a restarted agent fills its worker beyond a capacity that it had acknowledged."""
+"""UNASKED: a job is started on workers seconds after its cancelling was acknowledged."""
 
 import asyncio
 import os
-import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
-from site_load import CONFIG, CPU, URGENT, WORKERS  # noqa: E402
-from standins import CannotRun, Deployment, Request, job, run_case  # noqa: E402
+from site_load import CONFIG, CPU, LESS_URGENT, WORKERS, send_load, wide_request  # noqa: E402
+from standins import BOUNDS, Deployment, Request, run_case  # noqa: E402
 
-# About 24 of the 30 tasks that fill the three workers, at work at any time.
-TASKS, WORK_MS, EVERY_S, DEADLINE_MS = 6, 1000, 0.25, 1500
-# Share of its room that the worker keeps.
-SHRUNK = 0.55
-# Orders that were on their way when the report was acknowledged are not judged.
-ON_THE_WAY_S = 0.1
+NAME = "5c0e7a21d94b36f8"
+LOAD_JOBS = 8
 
 
 async def play(record, trouble):
-    deployment = Deployment(record, fronts=1, sides=WORKERS, cpu=CPU)
-    worker, agent, store = deployment.workers[0], deployment.sides[0], deployment.store
-    load = None
+    deployment = Deployment(record, fronts=2, sides=WORKERS, cpu=CPU)
+    entry, other = deployment.fronts
     try:
         await deployment.start(CONFIG)
-        load = asyncio.create_task(send_load(record, deployment.fronts[0]))
-        await asyncio.sleep(3.0)
+        load = asyncio.create_task(send_load(record, other, LOAD_JOBS))
+        await asyncio.sleep(6.0)
+        request = wide_request(record, entry, NAME)
+        waiting = asyncio.create_task(request.send())
+        await asyncio.sleep(0.2)
+        cancel = Request(record, entry, "DELETE", f"{LESS_URGENT}{NAME}")
         if trouble:
-            store.silent = True
-            record.note("store", "gives no answers")
-            await asyncio.sleep(0.5)
-            worker.capacity = {**worker.capacity, "cpu": int(CPU * SHRUNK)}
-            record.note(worker.name, "has less room", cpu=worker.capacity["cpu"])
-            while worker.acked_cpu != worker.capacity["cpu"]:
-                await asyncio.sleep(0.01)
-            record.note(worker.name, "its report of less room was acknowledged")
-            await asyncio.sleep(0.3)
-            agent.signal(signal.SIGKILL)
-            await agent.process.wait()
-            await asyncio.sleep(0.3)
-            store.silent = False
-            record.note("store", "answers again")
-            await asyncio.sleep(0.3)
-            await agent.start()
-            told_s = worker.acked_s
-        else:
-            told_s = record.now()
-            await asyncio.sleep(3.0)
-        await asyncio.sleep(3.0)
-        if not worker.starts or worker.starts[-1][0] < told_s + 1.0:
-            raise CannotRun("the worker got no tasks after that")
-        return check(record, deployment.workers, worker, told_s)
+            await cancel.send()
+        await waiting
+        await load
+        await asyncio.sleep(0.5)
+        return check(record, deployment, cancel)
     finally:
-        if load:
-            load.cancel()
         await deployment.end()
 
 
-async def send_load(record, front):
-    sent = []
-    for number in range(1, 200):
-        request = Request(record, front, "POST", f"{URGENT}{number:016x}", job(TASKS, WORK_MS),
-                          DEADLINE_MS)
-        sent.append(asyncio.create_task(request.send()))
-        await asyncio.sleep(EVERY_S)
-
-
-def check(record, workers, shrunk, told_s):
-    """The rule, for starts after the worker's report of its room was acknowledged."""
-    broken = []
-    for worker in workers:
-        since_s = told_s + ON_THE_WAY_S if worker is shrunk else 0.0
-        late = [row for row in worker.overfull if row[0] > since_s]
-        for at, used, capacity in late:
-            record.note("check", "start beyond the capacity", worker=worker.name,
-                        after_ack_s=round(at - told_s, 3), used=used, capacity=capacity)
-        if late:
-            worst = max(late, key=lambda row: row[1])
-            broken.append(f"LIMIT: {len(late)} starts on {worker.name} took it beyond its "
-                          f"capacity, up to {worst[1]} of {worst[2]}; the first "
-                          f"{late[0][0] - told_s:.2f} s after the ack of its report")
-    return broken
+def check(record, deployment, cancel):
+    """The rule: a cancel counts as acknowledged by a 2xx or 410."""
+    if cancel.status is None or not (200 <= cancel.status < 300 or cancel.status == 410):
+        return []
+    limit_s = cancel.over_s + BOUNDS["cancel_ms"] / 1e3
+    stop_s = limit_s + BOUNDS["stop_ms"] / 1e3
+    late, running = [], []
+    for worker in deployment.workers:
+        ends = {(task, run): at for at, task, run, _ in worker.end_log}
+        for at, task, run in worker.starts:
+            if not task.startswith(NAME):
+                continue
+            record.note("check", "start of the job", task=task, run=run,
+                        after_cancel_s=round(at - cancel.over_s, 3))
+            if at > limit_s:
+                late.append(at - cancel.over_s)
+            elif ends.get((task, run), record.now()) > stop_s:
+                running.append(task)
+    if not late and not running:
+        return []
+    return [f"UNASKED: {len(late)} tasks started more than cancel_ms after the ack of the job's "
+            f"cancelling (the last {max(late, default=0):.2f} s after it), {len(running)} were "
+            "still running stop_ms after that point"]
 
 
 run_case(HERE, play)
