--- a/review/3/case.py
+++ b/review/3/case.py
@@ -59,4 +59,4 @@
             "still running stop_ms after that point"]
 
 
-run_case(HERE, play)
+run_case(play, record_path=sys.argv[1], trouble=os.environ["TROUBLE"] != "0")
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import shutil
@@ -258,6 +259,9 @@
                for item, row in zip(current, expected)):
             return 412, {"items": [item for item in current if item]}
         puts = body.get("puts", [])
+        written = [put["key"] for put in puts] + body.get("remove", [])
+        if any(key.startswith(("op/", "servers/")) for key in written):
+            return 403, {}
         if any(put.get("lease", 0) not in self.leases for put in puts if put.get("lease", 0)):
             return 404, {}
         for put in puts:
@@ -273,8 +277,8 @@
 class Worker:
     """A minion: runs what it is told under a lease, and lists what runs and what has ended.
 
-    The `spec` of a job is JSON with `work_ms`, the time that each of its tasks takes. It starts
-    whatever it is told (`rejects_overload` false).
+    The `spec` of a job is JSON with `work_ms`, the time that each of its tasks takes, and
+    `cpu`, what each uses. It starts whatever it is told (`rejects_overload` false).
     """
 
     def __init__(self, record, name, ip, zone, cpu, labels):
@@ -381,7 +385,7 @@
             return self.refuse("old")
         spec = json.loads(body["spec"])
         self.runs[task] = {"run": number, "since": time.monotonic(), "stop_at": None,
-                           "work_s": spec["work_ms"] / 1e3}
+                           "work_s": spec["work_ms"] / 1e3, "cpu": spec["cpu"]}
         self.starts.append((self.record.now(), task, number))
         self.record.note(self.name, "started", task=task, run=number)
         return 200, {"clock_ms": self.clock_ms()}
@@ -407,7 +411,7 @@
                 break
         now = time.monotonic()
         running = [[task, run["run"], "", min(99, int(100 * (now - run["since"]) / run["work_s"])),
-                    0.5] for task, run in self.runs.items()]
+                    run["cpu"]] for task, run in self.runs.items()]
         return 200, {"clock_ms": self.clock_ms(), "running": running,
                      "finished": self.finished[:500], "born": self.born}
 
@@ -415,6 +419,15 @@
 # Programs -----------------------------------------------------------------------------------
 
 
+# `prctl` option: the signal that a process gets when its parent ends.
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_parent():
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def deploy_commands():
     """The commands of the deploy file, by the class of machines."""
     with open(os.path.join(REPOSITORY, "deploy", "system.toml"), "rb") as file:
@@ -465,13 +478,14 @@
             file.write("\n".join(lines) + "\n")
 
     async def start(self):
+        """Starts the process; it ends with this script, however that ends."""
         kept = ("PATH", "HOME", "LANG")
         env = {name: os.environ[name] for name in kept if name in os.environ}
         env["WINGHOLD_BOOT"] = self.settings
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.command, cwd=REPOSITORY, env=env, stdout=log, stderr=log,
-                stdin=asyncio.subprocess.DEVNULL)
+                stdin=asyncio.subprocess.DEVNULL, preexec_fn=end_with_parent)
         self.deployment.record.note(self.name, "process started")
 
     def signal(self, number):
@@ -555,7 +569,7 @@
 def job(tasks, work_ms, cpu=1600):
     """Body of a best-effort job whose tasks each take `work_ms`."""
     step = {"count": tasks, "cpu": cpu, "mem_mb": 64, "estimate_ms": work_ms}
-    spec = json.dumps({"work_ms": work_ms})
+    spec = json.dumps({"work_ms": work_ms, "cpu": cpu})
     return json.dumps({"spec": spec, "best_effort": True, "steps": [step]}).encode()
 
 
@@ -598,14 +612,25 @@
         return self
 
 
-def run_case(folder, play):
-    """Runs `play(record, trouble)`, which returns a list of broken rules; exits as asked."""
-    record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+async def play_in_time(play, record, trouble):
+    """Plays a case; a signal or the time limit cancels it, so that its processes are ended."""
+    playing = asyncio.create_task(play(record, trouble))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
+    return await asyncio.wait_for(playing, 110)
+
+
+def run_case(play, record_path, trouble):
+    """Runs `play(record, trouble)`, which returns a list of broken rules.
+
+    Exits with 1 if a rule was broken, 0 if it held, 2 if the case could not run.
+    """
+    record = Record(record_path)
     record.note("case", "begins", trouble=int(trouble))
     try:
-        broken = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
-    except Exception as err:  # An error of the script says nothing about the rule.
+        broken = asyncio.run(play_in_time(play, record, trouble))
+    except (Exception, asyncio.CancelledError) as err:
+        # An error of the script says nothing about the rule.
         record.note("case", "could not run", why=repr(err))
         print(f"could not run: {err!r}")
         sys.exit(2)
--- a/review/lib/vip.py
+++ b/review/lib/vip.py
@@ -14,8 +14,8 @@
     """Accepts clients and passes bytes and ends of connections on, in order.
 
     A machine that stands still answers no opening packet; TCP sends it again after 1, 3 and 7 s.
-    After an opening packet was lost, a sender has one segment under way at a time (RFC 5681, 3.1),
-    so that the end of a connection follows the request behind it one round trip later.
+    On a connection that was held up so, the end of the connection arrives one round trip behind
+    the request; the pages are silent on this, and the program reckons with as much.
     """
 
     def __init__(self, record, ip):
