Entry: a DELETE stops the job at every entry before it is acknowledged

Cause: the HTTP server answered GET and DELETE of a job by the path alone. Best-effort jobs are not stored, but they are open in their entry as long as their caller waits, and nobody asked it.

Ruled out: a DELETE at another entry (same process), orders that were under way (all 'task sent' lines are later). Weighed: cancelling only at the entry that gets the DELETE (a false acknowledgement where the job is elsewhere), no acknowledgement unless the job is here (callers cannot choose the entry), spreading through gates (nobody would know when all entries have heard).

Change: the dispatcher ends the job, stops its runs and keeps the id for two minutes, as a submission may come after its cancellation. The entry writes the id to the store and acknowledges the DELETE once that is confirmed, 503 otherwise; all entries follow the records. Callers of the job get 200 and "cancelled". GET tells the state of a job that the entry has. Limits: 32 ids a record, ten records a second and entry, 256 waiting, 100,000 ids kept.

Why it works: a record that is written is seen by every entry that reaches the store, and the rule holds for those only; an entry that starts reads the records with its first reads.

One more watch for each entry (0.67 calls a second when idle). GET at another entry than the job's still answers 410.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -317,18 +317,21 @@
             return;
         }
         let finished = self.finished.get(&spec.id);
+        let first_run = finished.map_or(0, |finished| finished.next_run);
+        let seen_before = finished.is_some();
         if let Some(answer) = finished.and_then(|finished| finished.answer.clone()) {
             info!(self.log, "repeated the answer of a finished job"; "job" => %spec.id, "code" => answer.code.name());
             self.actions.push(DispatchAction::Reply { waiter, answer });
             return;
         }
+        if self.answer_cancelled(waiter, spec.id) {
+            return;
+        }
         if let Some(answer) = self.answer_for_losses(spec.id) {
             info!(self.log, "job not started again after worker losses"; "job" => %spec.id, "why" => &answer.message);
             self.actions.push(DispatchAction::Reply { waiter, answer });
             return;
         }
-        let first_run = finished.map_or(0, |finished| finished.next_run);
-        let seen_before = finished.is_some();
         let expected_us = self.expected_us(&spec, &route);
         let id = spec.id;
         let mut job = Job::new(spec, route, now.mono_us, wait_us, expected_us, first_run);
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod caller_waits;
+mod cancellation;
 mod config;
 mod congestion;
 mod deferral;
@@ -42,6 +43,8 @@
 use crate::run_times::RunTimes;
 use crate::time::{Moment, micros};
 use caller_waits::CallerWaits;
+use cancellation::Cancellations;
+pub use cancellation::JobState;
 use config::Configs;
 use congestion::CongestionByPriority;
 use deferral::Deferral;
@@ -151,6 +154,7 @@
     deferral: Deferral,
     fair_shares: FairShares,
     caller_waits: CallerWaits,
+    cancellations: Cancellations,
     placer: Placer,
     rng: StdRng,
     run_times: RunTimes,
@@ -192,6 +196,7 @@
             deferral: Deferral::default(),
             fair_shares: FairShares::default(),
             caller_waits: CallerWaits::default(),
+            cancellations: Cancellations::default(),
             run_times: RunTimes::default(),
             run_spreads: RunSpreads::default(),
             typical_run: TypicalRun::default(),
@@ -409,6 +414,7 @@
         self.redial_overdue_gates(now);
         self.fetch_config(now);
         self.evict_finished(now);
+        self.cancellations.evict_expired(now);
         self.losses.evict_expired(now);
         self.evict_orphaned_tasks(now);
         self.placement_due |= !self.backlog.is_empty() || !self.deferral.is_empty();
--- a/src/ephemeral/entry/handle.rs
+++ b/src/ephemeral/entry/handle.rs
@@ -11,7 +11,8 @@
 use super::Event;
 use crate::code::ResultCode;
 use crate::ephemeral::callers::CallerRequest;
-use crate::ephemeral::dispatcher::WaiterId;
+use crate::ephemeral::cancellations::CancellationRecorder;
+use crate::ephemeral::dispatcher::{JobState, WaiterId};
 use crate::ephemeral::job::{JobId, JobSpec};
 use crate::ephemeral::routes::{Route, RouteTable};
 use crate::message::Answer;
@@ -51,6 +52,7 @@
     pub(super) status: Arc<Mutex<EntryStatus>>,
     pub(super) table: watch::Receiver<Arc<RouteTable>>,
     pub(super) waiters: Arc<AtomicU64>,
+    pub(super) cancellations: CancellationRecorder,
     /// Interval after which a caller resends a job.
     pub(super) resend: Duration,
     /// Clock and timers.
@@ -114,6 +116,20 @@
         let _ = self.events.send(Event::Leave);
     }
 
+    /// State of a job at this entry.
+    pub async fn job_state(&self, job: JobId) -> JobState {
+        let (reply, state) = oneshot::channel();
+        let _ = self.events.send(Event::JobState(job, reply));
+        state.await.unwrap_or(JobState::Unknown)
+    }
+
+    /// Cancels a job here at once and at the other entries through the store. Returns whether the
+    /// cancellation is recorded there; if not, another entry may still start the job.
+    pub async fn cancel(&self, job: JobId) -> bool {
+        let _ = self.events.send(Event::Cancel(job));
+        self.cancellations.record(job).await
+    }
+
     /// Runs a job. Dropping the future counts as a disconnect of the caller.
     pub async fn submit(&self, spec: JobSpec, route: Arc<Route>, caller: CallerRequest) -> Answer {
         if caller.may_be_resent(self.resend) {
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -14,8 +14,9 @@
 
 use crate::code::{Effect, ResultCode};
 use crate::ephemeral::callers::{self, Callers};
+use crate::ephemeral::cancellations::{self, CancellationRecorder, RecordWriter};
 use crate::ephemeral::directory::{self, GateChanges};
-use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
+use crate::ephemeral::dispatcher::{DispatchAction, Dispatcher, JobState, WaiterId};
 use crate::ephemeral::follower::{Follower, WATCH_TIMEOUT, WatchedKeys};
 use crate::ephemeral::job::JobId;
 use crate::ephemeral::limits::Limits;
@@ -68,6 +69,11 @@
 enum Event {
     Submit(Box<Submission>),
     WaiterGone(WaiterId, JobId),
+    /// A caller cancels a job at this entry.
+    Cancel(JobId),
+    /// Jobs of new cancellation records.
+    CancellationRecords(Vec<JobId>),
+    JobState(JobId, oneshot::Sender<JobState>),
     Session(SessionEvent<ToEntry>),
     Dialed(Arc<str>, Option<TcpStream>),
     Gates(GateChanges),
@@ -85,6 +91,8 @@
     callers: Callers,
     status: Arc<Mutex<EntryStatus>>,
     table: watch::Sender<Arc<RouteTable>>,
+    /// Writer of cancellation records, until the entry runs.
+    record_writer: Option<RecordWriter>,
     tx: UnboundedSender<Event>,
     rx: UnboundedReceiver<Event>,
     suspension: Suspension,
@@ -103,8 +111,16 @@
         let on_event = move |event| events.send(Event::Session(event)).is_ok();
         let status = Arc::new(Mutex::new(EntryStatus::default()));
         let (table, table_rx) = watch::channel(Arc::default());
+        let (recorder, record_writer) = CancellationRecorder::new(
+            parts.store.clone(),
+            parts.process.clone(),
+            parts.timer.clone(),
+            parts.metrics.clone(),
+            parts.log.clone(),
+        );
         let handle = EntryHandle {
             events: tx.clone(),
+            cancellations: recorder,
             status: status.clone(),
             table: table_rx,
             waiters: Arc::default(),
@@ -121,6 +137,7 @@
             callers: Callers::default(),
             status,
             table,
+            record_writer: Some(record_writer),
             tx,
             rx,
             suspension: Suspension::new(parts.timer.now()),
@@ -136,6 +153,9 @@
     /// Runs until the process ends.
     pub async fn run(mut self) {
         self.follow_store();
+        if let Some(writer) = self.record_writer.take() {
+            tokio::spawn(writer.run());
+        }
         let mut ticks = self.parts.timer.interval(TICK_INTERVAL);
         loop {
             let first = tokio::select! {
@@ -176,6 +196,9 @@
                 let _ = tx.send(Event::Gates(changes));
             }
         });
+        let tx = self.tx.clone();
+        let deliver = move |jobs| tx.send(Event::CancellationRecords(jobs)).is_ok();
+        tokio::spawn(cancellations::follow(follower.clone(), deliver));
         let (key, log) = (parts.config_key.clone(), parts.log.clone());
         let (reader, tx) = (parts.reader.clone(), self.tx.clone());
         tokio::spawn(async move {
@@ -217,6 +240,16 @@
             Event::WaiterGone(waiter, job) => {
                 self.remove_caller(now, waiter, job);
             }
+            Event::Cancel(job) => self.dispatcher.cancel(now, job, "caller"),
+            Event::CancellationRecords(jobs) => {
+                for job in jobs {
+                    self.dispatcher.cancel(now, job, "store");
+                }
+            }
+            Event::JobState(job, reply) => {
+                // The caller may have left.
+                let _ = reply.send(self.dispatcher.job_state(job));
+            }
             Event::Session(SessionEvent::Frame { session, frame }) => {
                 let Some(age_us) = self.sessions.age_us(now, session, &frame) else {
                     return;
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -16,6 +16,7 @@
 //! - [`losses`]: worker losses by task, and when a task is abandoned.
 //! - [`subset`]: the gates that an entry has sessions with.
 //! - [`callers`]: callers that wait for an answer, and whether they are still connected.
+//! - [`cancellations`]: cancellations of jobs, published to all entries.
 //! - [`message`], [`session`]: messages between entries and gates, and their transport;
 //!   [`frame_clock`] estimates the age of frames, [`frame_counts`] counts them by kind,
 //!   [`suspension`] detects a suspended process.
@@ -27,6 +28,7 @@
 mod answer_times;
 pub mod backoff;
 pub mod callers;
+pub mod cancellations;
 pub mod directory;
 pub mod dispatcher;
 pub mod entry;
