Callers' jobs: numbers that no job has disturb no other job

What could be seen: after a request with a run time of 1e300 ms, 2^64 - 1 thousandths of a core or the longest wait that its header can hold, the entry answered nobody any more where overflows are checked; in a release build such sums wrap, and that job alone was answered wrongly (502).

Cause: numbers of a job and of its wait were taken as they came and then added and multiplied.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -277,8 +277,10 @@
                 .values()
                 .filter(same_kind)
                 .chain(std::iter::once(job));
-            let cpu_milli = open.map(|job| u64::from(job.spec.count) * job.spec.needs.cpu_milli);
-            self.subset.record_demand(now, kind, cpu_milli.sum());
+            let cpu_milli =
+                open.map(|job| f64::from(job.spec.count) * job.spec.needs.cpu_milli as f64);
+            let cpu_milli = cpu_milli.sum::<f64>() as u64;
+            self.subset.record_demand(now, kind, cpu_milli);
         }
     }
 
