Dispatcher: a job larger than the fleet is refused at once

What callers saw: a job with more tasks than all workers could run at the same time was held for half of its caller's time and then refused; with 100,000 tasks the 503 came after 6.5 s.

Cause: a few jobs are held whatever their size, as long as no others are; a held job begins as a whole, so such a one waits in vain. Its admission looked for a gate for every task, however long the waits became.

Change: a job is not held if the largest capacities of all known workers together cannot take its tasks. Admission stops at the first task whose wait exceeds the job's patience: it is denied from there on.

Why it works: both use what the fleet has at its largest, so that a job which could begin whole is held as before; where records are missing it is held.

Before: a_job_larger_than_the_fleet_is_refused_at_once fails on (3 tasks on a worker for 2: no answer). After: passes with 3 and with 1,000,000 tasks; the other ten of tests/ephemeral_deferral.rs pass.

Jobs that are not held see the same decision as before.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -106,11 +106,12 @@
             true => congestion_above,
             false => 0.0,
         };
-        let Some(waits) = self.waits_with_headroom(now, job, headroom) else {
+        let patience_us = job.patience_us(now.mono_us);
+        let Some(waits) = self.waits_with_headroom(now, job, headroom, patience_us) else {
             let answer = refused("no worker takes it now", NO_WORKER_RETRY_AFTER_MS);
             return Err(Denial::Answer(answer));
         };
-        let patience_us = job.patience_us(now.mono_us) as f64;
+        let patience_us = patience_us as f64;
         let wait = waits.first_us as f64 / patience_us.max(1.0);
         let typical_us = self.typical_run.us();
         let priority = self.congestion_priority(job);
@@ -230,22 +231,26 @@
     /// Whether all tasks of the job could begin at once with room for `headroom` more tasks
     /// kept free at each gate.
     pub(super) fn fits_with_headroom(&mut self, now: Moment, job: &Job, headroom: f64) -> bool {
-        let waits = self.waits_with_headroom(now, job, headroom);
+        let waits = self.waits_with_headroom(now, job, headroom, 0);
         waits.is_some_and(|waits| waits.longest_us == 0)
     }
 
     /// Expected waits of the job's tasks if all were placed now with room for `headroom`
-    /// more tasks kept free at each gate; `None` if a task finds no gate.
+    /// more tasks kept free at each gate; `None` if a task finds no gate. Tasks after the first
+    /// whose wait exceeds `max_wait_us` are left out, so that the effort does not grow with the size
+    /// of a job that is not admitted.
     fn waits_with_headroom(
         &mut self,
         now: Moment,
         job: &Job,
         headroom: f64,
+        max_wait_us: u64,
     ) -> Option<ExpectedWaits> {
         for gate in self.gates.values_mut() {
             gate.reserve(headroom_at(gate, &job.spec.needs, headroom));
         }
         let mut waits = Vec::new();
+        let mut exceeded = false;
         for index in 0..job.spec.count {
             // An admitted task may wait for a worker without another implicated one.
             let choice = self.choose_gate(now, job, index, false);
@@ -256,12 +261,16 @@
                 gate.reserve(job.spec.needs);
             }
             waits.push(choice.wait_us);
+            exceeded = choice.wait_us > max_wait_us;
+            if exceeded {
+                break;
+            }
         }
         for gate in self.gates.values_mut() {
             gate.release_reserved();
         }
         let whole = waits.len() == job.spec.count as usize;
-        whole.then(|| ExpectedWaits {
+        (whole || exceeded).then(|| ExpectedWaits {
             first_us: waits.first().copied().unwrap_or(0),
             longest_us: waits.into_iter().max().unwrap_or(0),
         })
--- a/src/ephemeral/dispatcher/deferral.rs
+++ b/src/ephemeral/dispatcher/deferral.rs
@@ -14,6 +14,7 @@
 use super::job::Job;
 use super::{Dispatcher, refused};
 use crate::ephemeral::job::{JobId, Priority};
+use crate::ephemeral::placement::GateView;
 use crate::time::{Moment, micros};
 
 /// Share of the caller's waiting time for which a job is held; the rest lets the caller try
@@ -229,11 +230,29 @@
         let left_us = until_us
             .checked_sub(now.mono_us)
             .filter(|left_us| *left_us > 0)?;
+        if self.exceeds_fleet(now, job) {
+            return None;
+        }
         let key = self.class_key(now, job);
         let expected = self.deferral.expects_room(now, key, job, left_us);
         expected.then_some(until_us)
     }
 
+    /// Whether the workers could not run all tasks of the job at the same time even if they were idle.
+    /// A held job begins as a whole, so it would wait in vain.
+    fn exceeds_fleet(&self, now: Moment, job: &Job) -> bool {
+        let request = self.placement_request(now, job);
+        let workers = self.gates.values().filter_map(GateView::worker);
+        let connected = workers.map(|worker| request.max_tasks_on(worker));
+        let connected = connected.fold(0, u64::saturating_add);
+        let tasks = u64::from(job.spec.count);
+        connected < tasks
+            && match self.subset.max_tasks(&request) {
+                Some(known) => known < tasks,
+                None => self.subset.counts() == (0, 0),
+            }
+    }
+
     /// Defers a job that is at no gate if it is expected to find room, and refuses it
     /// otherwise.
     pub(super) fn defer_or_refuse(&mut self, now: Moment, id: JobId, why: &str) {
--- a/src/ephemeral/job.rs
+++ b/src/ephemeral/job.rs
@@ -72,6 +72,14 @@
             && self.accelerators <= room.accelerators
     }
 
+    /// How many times these resources fit into `room`.
+    pub fn times_in(&self, room: &Resources) -> u64 {
+        let times = |need: u64, room: u64| room.checked_div(need).unwrap_or(u64::MAX);
+        times(self.cpu_milli, room.cpu_milli)
+            .min(times(self.memory_mb, room.memory_mb))
+            .min(times(self.accelerators, room.accelerators))
+    }
+
     /// Sum of both.
     pub fn plus(&self, other: &Resources) -> Resources {
         Resources {
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -389,6 +389,20 @@
         self.is_allowed_on(worker) && self.needs.fits_in(&largest)
     }
 
+    /// Tasks that `worker` could run at the same time if it were idle, at the largest capacity that
+    /// it has had.
+    pub fn max_tasks_on(&self, worker: &WorkerTraits) -> u64 {
+        if !self.is_allowed_on(worker) {
+            return 0;
+        }
+        let largest = worker.capacity.max_of_each(&worker.largest);
+        let by_room = self.needs.times_in(&largest);
+        match self.constraints.max_per_worker {
+            0 => by_room,
+            max => by_room.min(u64::from(max)),
+        }
+    }
+
     fn is_allowed_on(&self, worker: &WorkerTraits) -> bool {
         let label = self.constraints.label.as_ref();
         worker.service == self.service && label.is_none_or(|label| worker.labels.contains(label))
--- a/src/ephemeral/subset.rs
+++ b/src/ephemeral/subset.rs
@@ -289,6 +289,16 @@
         discovers || self.may_miss_gates || names.any(|name| !self.unavailable.contains(name))
     }
 
+    /// Tasks that the workers of the fleet could run at the same time if they were idle; `None` if
+    /// not all workers are known.
+    pub fn max_tasks(&self, request: &PlacementRequest<'_>) -> Option<u64> {
+        let workers = self.candidates.values();
+        let workers = workers.map(|candidate| candidate.worker.as_ref());
+        let tasks = workers.map(|worker| worker.map(|worker| request.max_tasks_on(worker)));
+        let sum = tasks.reduce(|sum, tasks| Some(sum?.saturating_add(tasks?)));
+        sum.flatten().filter(|_| !self.may_miss_gates)
+    }
+
     /// Whether the workers of the fleet can run a task.
     pub fn feasibility(&self, request: &PlacementRequest<'_>) -> Feasibility {
         let workers = || {
--- a/tests/ephemeral_deferral.rs
+++ b/tests/ephemeral_deferral.rs
@@ -52,6 +52,21 @@
     orders.into_iter().next().expect("an order")
 }
 
+/// Guards against holding a job that the fleet could not run as a whole even if it were idle: its
+/// caller can be answered at once.
+#[test]
+fn a_job_larger_than_the_fleet_is_refused_at_once() {
+    for tasks in [3, 1_000_000] {
+        let mut bench = bench();
+        bench.load(1, full(300 * MS));
+        bench.submit(1, job(1, tasks), 1);
+        assert_eq!(bench.codes(), [ResultCode::Overloaded], "{tasks} tasks");
+        assert_eq!(bench.answers[0].1.effect, Effect::NotRun);
+        bench.submit(2, job(2, 2), 1);
+        assert_eq!(bench.codes().len(), 1, "one that fits is held");
+    }
+}
+
 /// A burst fills all workers for longer than the objective of a job allows, but not for
 /// longer than its caller waits.
 #[test]
