Entry: callers' requests stay within the memory of the instance

What callers saw, by the issue: clients that nobody controls ended an entry by many bodies of legal size at once, whole, in pieces or in chunks, most of them unfinished: it ran out of memory.

Cause: each body was bounded, their sum was not. A body was collected as the pieces that it came in and then copied; its text lived on in the open job whatever its length; all steps of a job were decoded before more than one was rejected; and memory for all tasks of a job was taken before anything was checked, so that one request of 150 bytes with "count": was enough. Nothing read memory_mb of the settings.

Change: a budget of an eighth of the instance's memory for all requests. What exceeds 8 KiB of a request is taken from it as the body arrives and for the text and the tasks of the open job, and given back with the answer; a request that gets none is refused at once with 503 and its connection closed, or with 413 if it could never get it. A body is copied into one buffer. A text above the 4,000 bytes of the interface is rejected. The receive buffer of a caller's connection is 16 KiB, as what is not read counts too.

--- a/src/ephemeral/job.rs
+++ b/src/ephemeral/job.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 const JOB_ID_HEX_DIGITS: usize = 16;
+/// Estimated memory of one task of an open job, in bytes.
+const TASK_BYTES: u64 = 128;
 
 /// Id of a job, chosen by the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -148,3 +150,15 @@
     /// Placement constraints.
     pub constraints: Constraints,
 }
+
+impl JobSpec {
+    /// Estimated memory of the job while it is open, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        let Constraints {
+            label, data_rack, ..
+        } = &self.constraints;
+        let labels = [label, data_rack].into_iter().flatten();
+        let text_bytes = self.payload.len() + labels.map(String::len).sum::<usize>();
+        text_bytes as u64 + u64::from(self.count) * TASK_BYTES
+    }
+}
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -16,6 +16,7 @@
 //! - [`losses`]: worker losses by task, and when a task is abandoned.
 //! - [`subset`]: the gates that an entry has sessions with.
 //! - [`callers`]: callers that wait for an answer, and whether they are still connected.
+//! - [`instance_resources`], [`request_memory`]: how much memory callers' requests may hold in an entry.
 //! - [`cancellations`]: cancellations of jobs, published to all entries.
 //! - [`message`], [`session`]: messages between entries and gates, and their transport;
 //!   [`frame_clock`] estimates the age of frames, [`frame_counts`] counts them by kind,
@@ -37,11 +38,13 @@
 pub mod frame_clock;
 pub mod frame_counts;
 pub mod gate;
+pub mod instance_resources;
 pub mod job;
 pub mod limits;
 pub mod losses;
 pub mod message;
 pub mod placement;
+pub mod request_memory;
 pub mod room;
 pub mod routes;
 pub mod run_spread;
