--- a/src/ephemeral/dispatcher/deferral.rs
+++ b/src/ephemeral/dispatcher/deferral.rs
@@ -238,8 +238,8 @@
         expected.then_some(until_us)
     }
 
-    /// Whether the workers could not run all tasks of the job at the same time even if they were idle.
-    /// A held job begins as a whole, so it would wait in vain.
+    /// Whether all workers together have too little capacity for all tasks of the job, even if they
+    /// are idle. A held job begins as a whole, so it would wait in vain.
     fn exceeds_fleet(&self, now: Moment, job: &Job) -> bool {
         let request = self.placement_request(now, job);
         let workers = self.gates.values().filter_map(GateView::worker);
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -16,8 +16,8 @@
 //! - [`losses`]: worker losses by task, and when a task is abandoned.
 //! - [`subset`]: the gates that an entry has sessions with.
 //! - [`callers`]: callers that wait for an answer, and whether they are still connected.
-//! - [`instance_resources`], [`caller_connections`], [`request_memory`]: how many connections and how
-//!   much memory callers may hold in an entry.
+//! - [`instance_resources`], [`caller_connections`], [`request_memory`]: how many connections and
+//!   how much memory callers may hold in an entry.
 //! - [`cancellations`]: cancellations of jobs, published to all entries.
 //! - [`message`], [`session`]: messages between entries and gates, and their transport;
 //!   [`frame_clock`] estimates the age of frames, [`frame_counts`] counts them by kind,
