Dispatcher: admission weighs all tasks of a job again; too large ones are refused before

Traced to: leaving out tasks after the first that waits too long makes the same decision for a job, but draws fewer random numbers for placement, and later decisions differ by them.

Change: admission weighs all tasks as before. The effort for an oversized job is bounded first instead: one whose tasks all workers together, idle and eight times as fast as expected, could not begin within its patience is refused at once, as a held job that they cannot begin together.

The four tests of tests/ephemeral_heavy_load.rs and the eleven of tests/ephemeral_deferral.rs pass.

--- a/src/ephemeral/dispatcher/admission.rs
+++ b/src/ephemeral/dispatcher/admission.rs
@@ -52,6 +52,8 @@
 const CAPACITY_REDUCED: &str = "no worker has the capacity for it now";
 /// Reason for refusing a job while all failure domains are evacuated.
 const EVACUATED: &str = "the failure domains of all workers are evacuated";
+/// Reason for refusing a job that the whole fleet could not begin in time.
+const TOO_MANY_TASKS: &str = "it has more tasks than all workers can begin in time";
 /// Reason for refusing a job that fits no worker known so far.
 const WORKERS_UNKNOWN: &str = "not all workers are known yet";
 
@@ -107,7 +109,11 @@
             false => 0.0,
         };
         let patience_us = job.patience_us(now.mono_us);
-        let Some(waits) = self.waits_with_headroom(now, job, headroom, patience_us) else {
+        if self.exceeds_fleet(now, job, job.rounds_within(patience_us)) {
+            let retry_after_ms = self.retry_after_ms(now, job);
+            return Err(Denial::Answer(refused(TOO_MANY_TASKS, retry_after_ms)));
+        }
+        let Some(waits) = self.waits_with_headroom(now, job, headroom) else {
             let answer = refused("no worker takes it now", NO_WORKER_RETRY_AFTER_MS);
             return Err(Denial::Answer(answer));
         };
@@ -231,26 +237,22 @@
     /// Whether all tasks of the job could begin at once with room for `headroom` more tasks
     /// kept free at each gate.
     pub(super) fn fits_with_headroom(&mut self, now: Moment, job: &Job, headroom: f64) -> bool {
-        let waits = self.waits_with_headroom(now, job, headroom, 0);
+        let waits = self.waits_with_headroom(now, job, headroom);
         waits.is_some_and(|waits| waits.longest_us == 0)
     }
 
     /// Expected waits of the job's tasks if all were placed now with room for `headroom`
-    /// more tasks kept free at each gate; `None` if a task finds no gate. Tasks after the first
-    /// whose wait exceeds `max_wait_us` are left out, so that the effort does not grow with the size
-    /// of a job that is not admitted.
+    /// more tasks kept free at each gate; `None` if a task finds no gate.
     fn waits_with_headroom(
         &mut self,
         now: Moment,
         job: &Job,
         headroom: f64,
-        max_wait_us: u64,
     ) -> Option<ExpectedWaits> {
         for gate in self.gates.values_mut() {
             gate.reserve(headroom_at(gate, &job.spec.needs, headroom));
         }
         let mut waits = Vec::new();
-        let mut exceeded = false;
         for index in 0..job.spec.count {
             // An admitted task may wait for a worker without another implicated one.
             let choice = self.choose_gate(now, job, index, false);
@@ -261,16 +263,12 @@
                 gate.reserve(job.spec.needs);
             }
             waits.push(choice.wait_us);
-            exceeded = choice.wait_us > max_wait_us;
-            if exceeded {
-                break;
-            }
         }
         for gate in self.gates.values_mut() {
             gate.release_reserved();
         }
         let whole = waits.len() == job.spec.count as usize;
-        (whole || exceeded).then(|| ExpectedWaits {
+        whole.then(|| ExpectedWaits {
             first_us: waits.first().copied().unwrap_or(0),
             longest_us: waits.into_iter().max().unwrap_or(0),
         })
--- a/src/ephemeral/dispatcher/deferral.rs
+++ b/src/ephemeral/dispatcher/deferral.rs
@@ -230,7 +230,8 @@
         let left_us = until_us
             .checked_sub(now.mono_us)
             .filter(|left_us| *left_us > 0)?;
-        if self.exceeds_fleet(now, job) {
+        // A held job begins as a whole.
+        if self.exceeds_fleet(now, job, 1) {
             return None;
         }
         let key = self.class_key(now, job);
@@ -238,14 +239,14 @@
         expected.then_some(until_us)
     }
 
-    /// Whether all workers together have too little capacity for all tasks of the job, even if they
-    /// are idle. A held job begins as a whole, so it would wait in vain.
-    fn exceeds_fleet(&self, now: Moment, job: &Job) -> bool {
+    /// Whether all workers together, even if they are idle, cannot take the tasks of the job in this
+    /// number of rounds.
+    pub(super) fn exceeds_fleet(&self, now: Moment, job: &Job, rounds: u64) -> bool {
         let request = self.placement_request(now, job);
         let workers = self.gates.values().filter_map(GateView::worker);
         let connected = workers.map(|worker| request.max_tasks_on(worker));
         let connected = connected.fold(0, u64::saturating_add);
-        let tasks = u64::from(job.spec.count);
+        let tasks = u64::from(job.spec.count).div_ceil(rounds.max(1));
         connected < tasks
             && match self.subset.max_tasks(&request) {
                 Some(known) => known < tasks,
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -11,6 +11,8 @@
 
 /// Factor on the expected run time when the latest begin is computed, as run times vary.
 const RUN_TIME_MARGIN: f64 = 1.1;
+/// Factor by which runs may be shorter than expected.
+const MAX_RUN_SPEEDUP: u64 = 8;
 /// Time for orders and answers to be transmitted, in microseconds.
 const MESSAGE_OVERHEAD_US: u64 = 10_000;
 
@@ -156,6 +158,13 @@
         until_us.saturating_sub(now_us)
     }
 
+    /// Upper bound on the tasks that can begin one after the other in the same place within
+    /// `span_us`.
+    pub fn rounds_within(&self, span_us: u64) -> u64 {
+        let shortest_us = (self.expected_us / MAX_RUN_SPEEDUP).max(1);
+        1 + span_us / shortest_us
+    }
+
     /// Priority of its tasks: best effort if it is deferred and surplus or late.
     pub fn priority(&self, scheduling: &Scheduling, now_us: u64) -> Priority {
         match self.is_deferred() && (self.surplus || self.misses_objective(now_us)) {
