Entry: a job's share of the memory covers the orders of its tasks

What could be seen: one request with 40,000 tasks that need no room and a text of 4,000 bytes took 104,432 KiB on an instance of 48 MB.

Cause: an open job was charged for its text once, but each order to a gate carries the text until it is sent.

Change: a job is charged for 512 bytes and its text for each task. What exceeds the budget is refused with 503, or with 413 if it could never fit, as before.

--- a/src/ephemeral/job.rs
+++ b/src/ephemeral/job.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 const JOB_ID_HEX_DIGITS: usize = 16;
-/// Estimated memory of one task of an open job, in bytes.
-const TASK_BYTES: u64 = 128;
+/// Estimated memory of one task of an open job and of its order, without the payload, in bytes.
+const TASK_BYTES: u64 = 512;
 
 /// Id of a job, chosen by the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -152,13 +152,14 @@
 }
 
 impl JobSpec {
-    /// Estimated memory of the job while it is open, in bytes.
+    /// Estimated memory of the job while it is open, in bytes. Each order holds the payload until it is
+    /// sent.
     pub fn memory_bytes(&self) -> u64 {
         let Constraints {
             label, data_rack, ..
         } = &self.constraints;
         let labels = [label, data_rack].into_iter().flatten();
-        let text_bytes = self.payload.len() + labels.map(String::len).sum::<usize>();
-        text_bytes as u64 + u64::from(self.count) * TASK_BYTES
+        let label_bytes = labels.map(String::len).sum::<usize>() as u64;
+        label_bytes + u64::from(self.count) * (TASK_BYTES + self.payload.len() as u64)
     }
 }
