Sessions: the messages of one turn are spread over frames

What could be seen: one request with 1,200 tasks that need no room and a text of 4,000 bytes ended the entry's sessions with both gates, for all jobs there ('gate disconnected' twice in its log, 12 ms after 'job opened'); its tasks were placed again in other turns and it was answered as complete.

Cause: all messages of a turn went into one frame, and a frame above 2 MiB ends the connection.

Ruled out: slow gates. They make an entry open second connections under such a job too, but close none by themselves.

Change: at most 256 messages a frame, which stay below the limit with the largest texts. Turns with fewer are sent as before.

Before: the_orders_of_a_large_job_are_spread_over_frames fails without the change ('the session ended after 0 orders'). After: it and the other seven of tests/ephemeral_frame_age.rs pass. A test of the same with real programs was tried and left out: it asked that no session ends, which depends on the speed of the workers.

--- a/src/ephemeral/session.rs
+++ b/src/ephemeral/session.rs
@@ -29,6 +29,8 @@
 
 /// Largest accepted frame; several starts with large payloads may share one.
 const MAX_FRAME_BYTES: usize = 2 << 20;
+/// Messages in one frame; with the largest payloads they stay below [`MAX_FRAME_BYTES`].
+const MAX_FRAME_MESSAGES: usize = 256;
 /// Frames queued for a slow peer before the session is closed.
 const MAX_QUEUED_FRAMES: usize = 256;
 
@@ -207,14 +209,19 @@
             if open.outbox.is_empty() {
                 continue;
             }
-            let messages = std::mem::take(&mut open.outbox);
-            self.counts.record(&messages);
-            let frame = Frame {
-                sent_us: now.mono_us,
-                messages,
-            };
-            if open.frames.try_send(frame).is_err() {
-                stuck.push(*session);
+            let mut unsent = std::mem::take(&mut open.outbox);
+            while !unsent.is_empty() {
+                let rest = unsent.split_off(unsent.len().min(MAX_FRAME_MESSAGES));
+                let messages = std::mem::replace(&mut unsent, rest);
+                self.counts.record(&messages);
+                let frame = Frame {
+                    sent_us: now.mono_us,
+                    messages,
+                };
+                if open.frames.try_send(frame).is_err() {
+                    stuck.push(*session);
+                    break;
+                }
             }
         }
         for session in &stuck {
--- a/tests/ephemeral_frame_age.rs
+++ b/tests/ephemeral_frame_age.rs
@@ -7,7 +7,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::unbounded_channel;
 use winghold::ephemeral::frame_clock::{FrameClock, FrameClocks};
-use winghold::ephemeral::message::{Frame, ProcessId, ToEntry, ToGate};
+use winghold::ephemeral::job::{JobId, Priority, Resources, RunId};
+use winghold::ephemeral::message::{Frame, ProcessId, StartOrder, ToEntry, ToGate};
 use winghold::ephemeral::session::{SessionEvent, SessionId, Sessions};
 use winghold::time::{Moment, MonotonicClock, Timer};
 
@@ -56,6 +57,59 @@
     assert_eq!(frame.sent_us, 10 * MS);
 }
 
+/// Guards against a turn with so many orders that their frame exceeds its limit, which would end the
+/// session with the gate.
+#[tokio::test]
+async fn the_orders_of_a_large_job_are_spread_over_frames() {
+    const ORDERS: u32 = 2_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await;
+    let (accepted, _) = listener.accept().await.unwrap();
+    let mut sender = Sessions::<ToGate, ToEntry>::new(MAX_AGE, |_| true);
+    let (tx, mut rx) = unbounded_channel();
+    let mut receiver =
+        Sessions::<ToEntry, ToGate>::new(MAX_AGE, move |event| tx.send(event).is_ok());
+    receiver.open(accepted);
+    let session = sender.open(stream.unwrap());
+    let payload: Arc<str> = "x".repeat(4_000).into();
+    for index in 0..ORDERS {
+        sender.send(session, order(index, payload.clone()));
+    }
+    assert!(sender.flush(Timer::coarse().now()).is_empty());
+    let mut received = Vec::new();
+    while received.len() < ORDERS as usize {
+        let Some(SessionEvent::Frame { frame, .. }) = rx.recv().await else {
+            panic!("the session ended after {} orders", received.len());
+        };
+        received.extend(frame.messages.into_iter().map(|message| match message {
+            ToGate::Start(order) => order.run.index,
+            other => panic!("{other:?}"),
+        }));
+    }
+    assert_eq!(received, Vec::from_iter(0..ORDERS));
+}
+
+fn order(index: u32, payload: Arc<str>) -> ToGate {
+    ToGate::Start(Box::new(StartOrder {
+        run: RunId {
+            job: JobId(1),
+            index,
+            run: 1,
+        },
+        payload,
+        needs: Resources::default(),
+        patience_us: 0,
+        priority: Priority::NORMAL,
+        leaves_headroom: false,
+        by_median: false,
+        due_us: 0,
+        expected_us: 0,
+        movable: false,
+        implicated: false,
+        number: u64::from(index),
+    }))
+}
+
 /// Receiving end of sessions with gates; each session is a connection to itself that is never
 /// read.
 struct Receiver {
