Dispatcher: the check against the whole fleet stops at the workers that suffice

Cause: for every job, admission added up what all workers of the fleet could take, twice as many workers in large fleets.

Change: the sum ends with the first workers that can take the tasks.

--- a/src/ephemeral/cancellations.rs
+++ b/src/ephemeral/cancellations.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::ephemeral::backoff::Backoff;
-use crate::ephemeral::follower::{Follower, KeyUpdate, WATCH_TIMEOUT, WatchedKeys};
+use crate::ephemeral::follower::{Follower, KeyUpdate, WatchedKeys};
 use crate::ephemeral::job::JobId;
 use crate::ephemeral::message::ProcessId;
 use crate::metrics::Metrics;
@@ -36,6 +36,9 @@
 const MAX_PENDING: usize = 256;
 /// Jobs in one record.
 const MAX_JOBS_PER_RECORD: usize = 32;
+/// Longest wait of a watch for records. Together with the timeout of the call it stays below the 3 s
+/// after an outage of the store in which entries must know new cancellations.
+const MAX_WATCH_WAIT: Duration = Duration::from_millis(2_200);
 /// Shortest interval between two records of an entry, which limits its share of the store's
 /// write rate.
 const MIN_RECORD_INTERVAL: Duration = Duration::from_millis(100);
@@ -229,7 +232,7 @@
         prefix: CANCELLATION_PREFIX,
         label: "cancellations",
         leased: true,
-        max_wait: WATCH_TIMEOUT,
+        max_wait: MAX_WATCH_WAIT,
     };
     follower.follow_changes(&keys, on_update).await;
 }
--- a/src/ephemeral/dispatcher/deferral.rs
+++ b/src/ephemeral/dispatcher/deferral.rs
@@ -243,15 +243,10 @@
     /// number of rounds.
     pub(super) fn exceeds_fleet(&self, now: Moment, job: &Job, rounds: u64) -> bool {
         let request = self.placement_request(now, job);
-        let workers = self.gates.values().filter_map(GateView::worker);
-        let connected = workers.map(|worker| request.max_tasks_on(worker));
-        let connected = connected.fold(0, u64::saturating_add);
         let tasks = u64::from(job.spec.count).div_ceil(rounds.max(1));
-        connected < tasks
-            && match self.subset.max_tasks(&request) {
-                Some(known) => known < tasks,
-                None => self.subset.counts() == (0, 0),
-            }
+        let connected = self.gates.values().filter_map(GateView::worker);
+        let mut connected = connected.map(|worker| &**worker);
+        !request.fit_together(tasks, &mut connected) && !self.subset.may_fit(&request, tasks)
     }
 
     /// Defers a job that is at no gate if it is expected to find room, and refuses it
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -389,9 +389,24 @@
         self.is_allowed_on(worker) && self.needs.fits_in(&largest)
     }
 
+    /// Whether `workers` could run this number of tasks at the same time if they were idle.
+    pub fn fit_together<'a>(
+        &self,
+        tasks: u64,
+        workers: &mut impl Iterator<Item = &'a WorkerTraits>,
+    ) -> bool {
+        let mut left = tasks;
+        // Mostly a few workers suffice.
+        left == 0
+            || workers.any(|worker| {
+                left = left.saturating_sub(self.max_tasks_on(worker));
+                left == 0
+            })
+    }
+
     /// Tasks that `worker` could run at the same time if it were idle, at the largest capacity that
     /// it has had.
-    pub fn max_tasks_on(&self, worker: &WorkerTraits) -> u64 {
+    fn max_tasks_on(&self, worker: &WorkerTraits) -> u64 {
         if !self.is_allowed_on(worker) {
             return 0;
         }
--- a/src/ephemeral/subset.rs
+++ b/src/ephemeral/subset.rs
@@ -289,14 +289,13 @@
         discovers || self.may_miss_gates || names.any(|name| !self.unavailable.contains(name))
     }
 
-    /// Tasks that the workers of the fleet could run at the same time if they were idle; `None` if
-    /// not all workers are known.
-    pub fn max_tasks(&self, request: &PlacementRequest<'_>) -> Option<u64> {
-        let workers = self.candidates.values();
-        let workers = workers.map(|candidate| candidate.worker.as_ref());
-        let tasks = workers.map(|worker| worker.map(|worker| request.max_tasks_on(worker)));
-        let sum = tasks.reduce(|sum, tasks| Some(sum?.saturating_add(tasks?)));
-        sum.flatten().filter(|_| !self.may_miss_gates)
+    /// Whether the workers of the fleet could run this number of tasks at the same time if they were
+    /// idle, or may, as not all of them are known.
+    pub fn may_fit(&self, request: &PlacementRequest<'_>, tasks: u64) -> bool {
+        let workers = || self.candidates.values().map(|gate| gate.worker.as_ref());
+        self.may_miss_gates
+            || request.fit_together(tasks, &mut workers().flatten())
+            || workers().any(|worker| worker.is_none())
     }
 
     /// Whether the workers of the fleet can run a task.
