--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import base64
+import bisect
+import itertools
 import json
 import os
 import random
@@ -241,8 +243,11 @@
             prefix, after = query["path_prefix"], int(query["depends_on"])
             until = time.monotonic() + int(query["wait_ms"]) / 1000
             while True:
-                events = [e for e in self.history if e["rev"] > after
-                          and e["key"].startswith(prefix)]
+                start = bisect.bisect_right(self.history, after, key=lambda e: e["rev"])
+                events = [e for e in itertools.islice(self.history, start, None)
+                          if e["key"].startswith(prefix)]
+                # Nothing up to here is of interest to this watch.
+                after = after if events else max(after, self.rev)
                 left = until - time.monotonic()
                 if events or left <= 0:
                     return 200, dict(events=events[:500], at_rev=self.rev)
@@ -613,7 +618,7 @@
 
 class Program:
     def __init__(self, dir, role, name, zone, store, worker=None, zones=("z",), contracts=(),
-                 record=None, bounds=None):
+                 record=None, bounds=None, link_mbps=1000.0):
         self.dir, self.role, self.name = dir, role, name
         self.ip = unused_ip()
         self.front = (self.ip, 8161)
@@ -636,7 +641,7 @@
         text += 'control = "%s:8166"\n' % self.ip
         memory = 128 if worker else 260
         text += "[limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = %d\nmax_fds = 4100\n" % memory
-        text += "link_mbps = 1000.0\ndisk_mb = 0\n"
+        text += "link_mbps = %s\ndisk_mb = 0\n" % link_mbps
         text += "[bounds]\n" + "".join("%s = %s\n" % pair
                                        for pair in dict(BOUNDS, **(bounds or {})).items())
         text += "require_fence = false\n"
@@ -697,6 +702,8 @@
         self.document = options.pop("document", config())
         self.zones = zones or ["z"]
         self.bounds = options.pop("bounds", None)
+        BOUNDS.update(self.bounds or {})
+        self.link_mbps = options.pop("link_mbps", lambda index: 1000.0)
         # Entries that reach the store by a `Link`.
         self.linked = options.pop("linked", ())
 
@@ -736,7 +743,8 @@
     def new_entry(self, name):
         store = self.links.get(name, self.store)
         return Program(self.dir, "entry", name, self.zones[0], store, zones=self.zones,
-                       contracts=self.contracts, record=self.record, bounds=self.bounds)
+                       contracts=self.contracts, record=self.record, bounds=self.bounds,
+                       link_mbps=self.link_mbps(int(name.rsplit("-", 1)[1])))
 
     async def __aexit__(self, *_):
         for program in self.entries + self.agents:
