--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import bisect
+import ctypes
 import itertools
 import json
 import os
@@ -33,6 +34,7 @@
               lease_ms=3000, thaw_ms=300, pace_ms=100, harm_ms=4000, resend_ms=1300)
 
 EPOCH = time.monotonic()
+LIBC = ctypes.CDLL(None)
 
 
 def now():
@@ -616,6 +618,12 @@
 
 # --- the project's programs ---------------------------------------------------------------
 
+def end_with_parent():
+    """Lets a program end with this process, however that ends."""
+    PR_SET_PDEATHSIG = 1
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Program:
     def __init__(self, dir, role, name, zone, store, worker=None, zones=("z",), contracts=(),
                  record=None, bounds=None, link_mbps=1000.0):
@@ -658,7 +666,8 @@
         env = dict(PATH=os.environ.get("PATH", ""), HOME=self.dir, WINGHOLD_BOOT=self.settings)
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                PROGRAM, self.role, env=env, stdout=log, stderr=log, cwd=ROOT)
+                PROGRAM, self.role, env=env, stdout=log, stderr=log, cwd=ROOT,
+                preexec_fn=end_with_parent)
         self.disturbed()
         self.record("%s started" % self.name)
 
@@ -708,6 +717,13 @@
         self.linked = options.pop("linked", ())
 
     async def __aenter__(self):
+        try:
+            return await self.begin()
+        except BaseException:
+            await self.__aexit__()
+            raise
+
+    async def begin(self):
         await self.store.start()
         self.links = {}
         self.store.put_json("op/config", self.document)
@@ -883,14 +899,20 @@
     judge = Judge(record)
     record("trouble: %s" % ("yes" if trouble else "no"))
     code = 2
+
+    def interrupt(*_):
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, interrupt)
     try:
         asyncio.run(case(trouble, record, judge))
         code = 1 if judge.broken else 0
-    except Exception as err:
+    except (Exception, KeyboardInterrupt) as err:
         record("the case could not run: %r" % err)
         print("the case could not run: %r" % err)
     rules = sorted({rule for rule, _, _ in judge.broken})
     text = "broken: %s (%d)" % (", ".join(rules), len(judge.broken)) if judge.broken else "held"
+    text = "not played to its end" if code == 2 else text
     record("exit %d; %s" % (code, text))
     print("exit %d; %s" % (code, text))
     record.write()
