--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -43,19 +43,14 @@
 
 
 class Record:
-    """What was sent, answered and run; written to record.txt."""
+    """What was sent, answered and run; written to the file `path` line by line."""
 
     def __init__(self, path=None):
-        self.lines = []
-        self.path = path
+        self.file = open(path, "w", buffering=1) if path else None
 
     def __call__(self, text):
-        self.lines.append("%9.4f  %s" % (now(), text))
-
-    def write(self):
-        if self.path:
-            with open(self.path, "w") as f:
-                f.write("\n".join(self.lines) + "\n")
+        if self.file:
+            self.file.write("%9.4f  %s\n" % (now(), text))
 
 
 # --- HTTP ---------------------------------------------------------------------------------
@@ -891,11 +886,11 @@
     return status
 
 
-def main(case, path):
-    """Runs `case(trouble, record, judge)`; exits with 1 if a rule was broken, 0 if all held, and
+def main(case, record_path):
+    """Runs `case(trouble, record, judge)`, and writes what it records to `record_path`; exits with 1 if a rule was broken, 0 if all held, and
     2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(os.path.join(os.path.dirname(os.path.abspath(path)), "record.txt"))
+    record = Record(record_path)
     judge = Judge(record)
     record("trouble: %s" % ("yes" if trouble else "no"))
     code = 2
@@ -915,5 +910,4 @@
     text = "not played to its end" if code == 2 else text
     record("exit %d; %s" % (code, text))
     print("exit %d; %s" % (code, text))
-    record.write()
     raise SystemExit(code)
