--- a/review/12/case.py
+++ b/review/12/case.py
@@ -60,7 +60,7 @@
 async def caller(fleet, entry, kind):
     while True:
         job, spec = f.new_id(), f"s=0.1 kind={kind}"
-        await fleet.submit(entry, job, spec, 4, cpu=400, estimate_ms=100, requires=kind)
+        await fleet.submit(entry, job, spec, 4, cpu=200, estimate_ms=100, requires=kind)
         await asyncio.sleep(0.01)
 
 
@@ -73,7 +73,7 @@
     entry = await fleet.add_entry()
     await fleet.wait_ready()
     await asyncio.sleep(1.0)
-    callers = [asyncio.create_task(caller(fleet, entry, kind)) for kind in KINDS * 8]
+    callers = [asyncio.create_task(caller(fleet, entry, kind)) for kind in KINDS * 16]
     for index in range(CRASHES):
         await asyncio.sleep(1.5)
         if f.TROUBLE:
