--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -654,6 +654,8 @@
     record = Record(os.path.join(folder, "record.txt"))
     fleet = Fleet(record)
     code = CANNOT_RUN
+    # A script that is stopped ends its programs as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         async def play():
             async with asyncio.timeout(110):
@@ -667,7 +669,7 @@
     except CannotRun as err:
         record.add("verdict", text=f"could not run: {err}")
         print("could not run:", err)
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         record.add("verdict", text="could not run: " + traceback.format_exc(limit=3))
         traceback.print_exc()
     finally:
