Gate: the log names the call that changed the worker's responsiveness

Reports and run lists carry the start time of the worker, answers to starts and stops do not, so the hypotheses "answer to a stop", "answer to a repeated start" and "run list" could not be told apart.

Change: the line has `call`: `start`, `stop` or `poll`.

The new test fails without the field.

--- a/src/ephemeral/gate/answers.rs
+++ b/src/ephemeral/gate/answers.rs
@@ -5,6 +5,7 @@
 use slog::{debug, info, warn};
 
 use super::restart::AnsweredBy;
+use super::worker_incarnations::CallKind;
 use super::{Gate, GateAction, RunState, StopCause};
 use crate::ephemeral::job::RunId;
 use crate::ephemeral::message::{NotRunReason, RunEnd, ToEntry};
@@ -49,7 +50,7 @@
             return;
         }
         let answer = answer.map(|answer| self.check_clock(now, answer));
-        self.record_answer(now, answer.is_ok());
+        self.record_answer(now, CallKind::Start, answer.is_ok());
         let state = self.runs.get(&run).map(|record| record.state);
         let starting = matches!(state, Some(RunState::Starting { .. }));
         let was_resent = matches!(state, Some(RunState::Starting { resent, .. }) if resent > 0);
@@ -154,7 +155,7 @@
         if !self.is_current(worker) {
             return;
         }
-        self.record_answer(now, answer.is_ok());
+        self.record_answer(now, CallKind::Stop, answer.is_ok());
         match answer {
             Ok(()) => {
                 self.check_wanted = true;
@@ -274,7 +275,7 @@
             incarnation.poll_open &= answer != Err(WorkerCallError::Refused);
             incarnation.refused &= answer.is_err();
         }
-        self.record_answer(now, answer.is_ok());
+        self.record_answer(now, CallKind::Poll, answer.is_ok());
         self.missed_polls = match answer.is_ok() {
             true => 0,
             false => self.missed_polls.saturating_add(1),
--- a/src/ephemeral/gate/worker_incarnations.rs
+++ b/src/ephemeral/gate/worker_incarnations.rs
@@ -38,6 +38,25 @@
     reported_us: u64,
 }
 
+/// Kind of a call to the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallKind {
+    Start,
+    Stop,
+    Poll,
+}
+
+impl CallKind {
+    /// Name for log lines.
+    fn name(self) -> &'static str {
+        match self {
+            CallKind::Start => "start",
+            CallKind::Stop => "stop",
+            CallKind::Poll => "poll",
+        }
+    }
+}
+
 /// How the gate learned that an incarnation ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum IncarnationEnd {
@@ -344,8 +363,8 @@
             && now.mono_us > self.answered_us + micros(UNRESPONSIVE_AFTER)
     }
 
-    /// Records whether the worker answered a call.
-    pub(super) fn record_answer(&mut self, now: Moment, answered: bool) {
+    /// Records whether the worker answered a call of this kind.
+    pub(super) fn record_answer(&mut self, now: Moment, call: CallKind, answered: bool) {
         let before = self.is_unresponsive(now);
         match answered {
             true => {
@@ -361,7 +380,8 @@
         }
         let unresponsive = self.is_unresponsive(now);
         if unresponsive != before {
-            info!(self.log, "worker responsiveness changed"; "answers" => !unresponsive);
+            info!(self.log, "worker responsiveness changed"; "answers" => !unresponsive,
+                "call" => call.name());
             self.load_changed = true;
         }
         if unresponsive {
--- a/tests/ephemeral_log_lines.rs
+++ b/tests/ephemeral_log_lines.rs
@@ -106,6 +106,26 @@
     log.assert_line("entry expired", &fields);
 }
 
+/// It would not show whether the answer that ends the silence of a worker can tell its incarnation.
+#[test]
+fn responsiveness_is_logged_with_the_call_that_changed_it() {
+    let log = CapturedLog::default();
+    let mut bench = gate_with_run(&log);
+    let (run, next) = (gate_bench::run(1), gate_bench::run(2));
+    bench.order(next, 100, 100);
+    bench.advance(130);
+    bench.answer_start(next, Err(WorkerCallError::Unanswered));
+    bench.answer_stop(run, Err(WorkerCallError::Unanswered));
+    bench.answer_stop(run, Err(WorkerCallError::Unanswered));
+    log.assert_line(
+        "worker responsiveness changed",
+        &["answers=false", "call=stop"],
+    );
+    bench.list_runs(vec![(run, 50)], Vec::new());
+    let lines = log.lines("worker responsiveness changed");
+    assert!(lines[1].contains(" call=poll "), "{}", lines[1]);
+}
+
 /// The runs that a gate takes for over with its worker could not be counted.
 #[test]
 fn end_of_a_worker_incarnation_is_logged_with_its_runs() {
