Worker client: an order reaches the addressed incarnation or none

Cause: an order names the worker's ID, which a restart keeps, and its answer has no start time. A start or stop on a new connection is carried out by whatever process listens there by then. Two effects: the order itself reaches the next incarnation, and its answer ends the gate's silence about the old one, so more starts by the old labels follow until a run list shows the other start time.

An order answered by another incarnation was not carried out: the gate ends such a run as not run and polls the worker at once.

--- a/src/ephemeral/gate/answers.rs
+++ b/src/ephemeral/gate/answers.rs
@@ -88,8 +88,12 @@
                 self.end(now, run, RunEnd::NotRun(NotRunReason::Rejected));
             }
             Ok(StartReply::Stale | StartReply::Rejected) => {}
-            Ok(StartReply::OtherIncarnation) | Err(WorkerCallError::OtherIncarnation) => {
-                self.check_wanted = true
+            Ok(StartReply::OtherIncarnation) => self.check_incarnation(),
+            Err(WorkerCallError::OtherIncarnation) => {
+                info!(self.log, "start not sent: another incarnation answered"; "run" => %run,
+                    "worker" => %worker);
+                self.check_incarnation();
+                self.end_refused_start(now, run);
             }
             Err(WorkerCallError::Refused) => {
                 self.connection_refused(now);
@@ -103,7 +107,14 @@
         }
     }
 
-    /// Ends a run whose start was refused while the worker may be alive.
+    /// Polls the worker at once, without the remaining retry delay, to find out whether the
+    /// incarnation has ended.
+    pub(super) fn check_incarnation(&mut self) {
+        self.check_wanted = true;
+        self.check_pending = false;
+    }
+
+    /// Ends a run whose last start certainly did not reach the worker.
     fn end_refused_start(&mut self, now: Moment, run: RunId) {
         let Some(record) = self.runs.get(&run) else {
             return;
@@ -165,7 +176,7 @@
                     *acked_us = Some(now.mono_us);
                 }
             }
-            Err(WorkerCallError::OtherIncarnation) => self.check_wanted = true,
+            Err(WorkerCallError::OtherIncarnation) => self.check_incarnation(),
             Err(WorkerCallError::Refused) => self.connection_refused(now),
             Err(err) => {
                 debug!(self.log, "stop failed"; "run" => %run, "error" => %err);
--- a/src/ephemeral/gate/worker_incarnations.rs
+++ b/src/ephemeral/gate/worker_incarnations.rs
@@ -153,9 +153,7 @@
             report: report.clone(),
             reported_us: now.mono_us,
         });
-        self.check_wanted = true;
-        // Send the check at once, without the remaining retry delay.
-        self.check_pending = false;
+        self.check_incarnation();
         false
     }
 
--- a/src/ephemeral/worker.rs
+++ b/src/ephemeral/worker.rs
@@ -194,7 +194,8 @@
         Unanswered {
             display("no answer; the call may still be carried out")
         }
-        /// Another incarnation of the worker answered; the addressed one has ended.
+        /// Another incarnation of the worker answered; the addressed one has ended. The call was
+        /// not carried out.
         OtherIncarnation {
             display("another incarnation of the worker answered")
         }
@@ -218,6 +219,10 @@
 }
 
 /// Client of one worker.
+///
+/// An order is carried out by the addressed incarnation or not at all, although its successor may
+/// have the same name and address. The properties by which a run was placed, such as the kind of
+/// the worker, may have changed with it.
 pub trait WorkerClient: Send + Sync {
     /// Sets the address of the worker.
     fn set_addr(&self, addr: &str);
--- a/tests/ephemeral_worker_life.rs
+++ b/tests/ephemeral_worker_life.rs
@@ -387,3 +387,33 @@
     assert!(dials < 80, "{dials} calls in six seconds");
     assert!(dials > 12, "calls are retried: {dials}");
 }
+
+/// A caller must not wait for the lease of a worker that is known to have ended, nor count the run as
+/// one that may have happened.
+#[test]
+fn start_that_another_incarnation_answered_is_reported_as_not_run() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.actions.clear();
+    bench.answer_start(run(1), Err(WorkerCallError::OtherIncarnation));
+    let not_run = RunEnd::NotRun(NotRunReason::NoWorker);
+    assert_eq!(bench.ends(), [(run(1), not_run)]);
+    let checked = bench.actions.iter().any(|action| match action {
+        GateAction::Poll(call) => call.check,
+        _ => false,
+    });
+    assert!(checked);
+}
+
+/// An earlier attempt may have begun the run before the worker ended.
+#[test]
+fn repeated_start_that_another_incarnation_answered_may_have_run() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 600, 100);
+    bench.answer_start(run(1), Err(WorkerCallError::Unanswered));
+    assert_eq!(bench.ordered(), [run(1), run(1)]);
+    bench.answer_start(run(1), Err(WorkerCallError::OtherIncarnation));
+    assert!(bench.ends().is_empty());
+    bench.answer_other_incarnation();
+    assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
+}
