Gate: an order is refused if the worker lacks the label it requires

Cause: an entry places a task by the labels in the gate's last load, and the order names no label. A gate reports the ends of the runs and the load with the next worker in one frame, the ends first, and the entry places the tasks again before it has read the load. By then the gate has adopted the next worker and starts them there. Any load that an entry acts on late leads to the same.

Ruled out: reading the load before the ends in an entry (covers one of the causes of a late load only); naming the worker's incarnation in the order (refuses orders that the next worker may run, for all jobs). A queue needs no further check: its runs are refused when the incarnation ends.

Change: an order carries the required label, and the gate refuses it as not run if its present worker lacks it. The load with the new labels goes out with the refusal, so the entry places the task elsewhere at once. The label counts into the memory of the job's orders. The field is left out where there is no label, so orders without one keep their encoding. Gates of earlier versions cannot read orders with one: agents are to be updated before entries.

Tests: order_that_requires_a_label_of_the_previous_worker_is_refused fails with the check taken out (`run(2)` is ordered), passes with it; the encoding of an order with a label was computed by a separate encoder and is the same.

--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -322,6 +322,7 @@
             movable,
             implicated: runs_apart,
             number: gate.record_start(now, run, job.spec.needs),
+            label: job.spec.constraints.label.clone(),
         };
         slog::debug!(self.log, "task sent"; "run" => %run, "gate" => &*choice.gate,
             "wait_us" => choice.wait_us, "run_us" => choice.run_us,
--- a/src/ephemeral/gate/queue.rs
+++ b/src/ephemeral/gate/queue.rs
@@ -49,10 +49,7 @@
             run,
         };
         let until_us = now.mono_us + order.patience_us;
-        let refusal = match order.implicated && self.has_implicated_run() {
-            true => Some(NotRunReason::Apart),
-            false => self.refusal(now),
-        };
+        let refusal = self.refusal_of(now, &order);
         let record = Run {
             owner,
             needs: order.needs,
@@ -85,6 +82,26 @@
         }
     }
 
+    /// Reason why an order cannot be carried out here, if there is one.
+    fn refusal_of(&self, now: Moment, order: &StartOrder) -> Option<NotRunReason> {
+        if order.implicated && self.has_implicated_run() {
+            return Some(NotRunReason::Apart);
+        }
+        self.refusal(now).or_else(|| self.label_refusal(order))
+    }
+
+    /// Refuses an order that was placed by the labels of an earlier worker.
+    fn label_refusal(&self, order: &StartOrder) -> Option<NotRunReason> {
+        let traits = &self.incarnation.as_ref()?.traits;
+        let label = order.label.as_ref()?;
+        if traits.labels.contains(label) {
+            return None;
+        }
+        info!(self.log, "start refused: worker lacks the required label"; "run" => %order.run,
+            "worker" => %traits.id);
+        Some(NotRunReason::NoWorker)
+    }
+
     /// Whether there is a run, of any entry, whose task has lost a worker before. If two such
     /// runs shared a worker, its loss could not be attributed to one of them.
     fn has_implicated_run(&self) -> bool {
--- a/src/ephemeral/job.rs
+++ b/src/ephemeral/job.rs
@@ -152,14 +152,14 @@
 }
 
 impl JobSpec {
-    /// Estimated memory of the job while it is open, in bytes. Each order holds the payload until it is
-    /// sent.
+    /// Estimated memory of the job while it is open, in bytes. Each order holds the payload and the
+    /// required label until it is sent.
     pub fn memory_bytes(&self) -> u64 {
         let Constraints {
             label, data_rack, ..
         } = &self.constraints;
-        let labels = [label, data_rack].into_iter().flatten();
-        let label_bytes = labels.map(String::len).sum::<usize>() as u64;
-        label_bytes + u64::from(self.count) * (TASK_BYTES + self.payload.len() as u64)
+        let bytes_of = |label: &Option<String>| label.as_ref().map_or(0, String::len) as u64;
+        let order_bytes = TASK_BYTES + self.payload.len() as u64 + bytes_of(label);
+        bytes_of(label) + bytes_of(data_rack) + u64::from(self.count) * order_bytes
     }
 }
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -197,6 +197,10 @@
     pub implicated: bool,
     /// Sequence number of the start in this session.
     pub number: u64,
+    /// Label that the worker must have. The gate may have another worker by the time the order
+    /// arrives. Left out if there is none, so that gates of earlier versions accept the order.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub label: Option<String>,
 }
 
 /// Message from a gate to an entry.
@@ -291,7 +295,7 @@
     Leaving,
     /// The gate's failure domain is evacuated.
     Evacuated,
-    /// The gate has no worker.
+    /// The gate has no worker, or its worker lacks the required label.
     NoWorker,
     /// The entry withdrew the order.
     Withdrawn,
--- a/tests/encodings.rs
+++ b/tests/encodings.rs
@@ -54,6 +54,11 @@
     check::<Frame<ToGate>>("to_gate");
 }
 
+#[test]
+fn orders_that_require_a_label_keep_their_encoding() {
+    check::<Frame<ToGate>>("labelled_order");
+}
+
 #[test]
 fn frames_to_entries_keep_their_encoding() {
     check::<Frame<ToEntry>>("to_entry");
--- a/tests/ephemeral_agent_turns.rs
+++ b/tests/ephemeral_agent_turns.rs
@@ -205,6 +205,7 @@
         movable: false,
         implicated: false,
         number: 1,
+        label: None,
     }))
 }
 
--- a/tests/ephemeral_frame_age.rs
+++ b/tests/ephemeral_frame_age.rs
@@ -107,6 +107,7 @@
         movable: false,
         implicated: false,
         number: u64::from(index),
+        label: None,
     }))
 }
 
--- a/tests/ephemeral_gate_late_turns.rs
+++ b/tests/ephemeral_gate_late_turns.rs
@@ -36,6 +36,7 @@
         movable: true,
         implicated: false,
         number: 1,
+        label: None,
     }))
 }
 
--- a/tests/ephemeral_priority_classes.rs
+++ b/tests/ephemeral_priority_classes.rs
@@ -56,6 +56,7 @@
         movable: false,
         implicated: false,
         number: bench.sent,
+        label: None,
     };
     let message = ToGate::Start(Box::new(order));
     bench.gate.handle_message(bench.now, ENTRY, message);
--- a/tests/ephemeral_worker_life.rs
+++ b/tests/ephemeral_worker_life.rs
@@ -417,3 +417,31 @@
     bench.answer_other_incarnation();
     assert_eq!(bench.ends(), [(run(1), RunEnd::Stopped)]);
 }
+
+/// A worker of another kind than the one that the entry chose must not run the task, although the gate
+/// is the same.
+#[test]
+fn order_that_requires_a_label_of_the_previous_worker_is_refused() {
+    let mut bench = Bench::without_worker();
+    bench.connect_entry(Vec::new());
+    let labelled = |id: &str, label: &str| WorkerReport {
+        labels: vec![label.into()],
+        ..report(id, false, 1)
+    };
+    bench.gate.worker_report(bench.now, labelled("w", "a"));
+    bench.collect();
+    bench.answer_first_poll();
+    bench.list_runs(Vec::new(), Vec::new());
+    bench.label = Some("a".into());
+    bench.order(run(1), 100, 100);
+    assert_eq!(bench.ordered(), [run(1)]);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    bench.gate.worker_report(bench.now, labelled("w2", "b"));
+    bench.answer_other_incarnation();
+    assert_eq!(bench.worker(), "w2".into());
+    bench.order(run(2), 100, 100);
+    let not_run = RunEnd::NotRun(NotRunReason::NoWorker);
+    assert!(bench.ends().contains(&(run(2), not_run)));
+    assert_eq!(bench.last_load().worker.unwrap().labels, ["b"]);
+    assert_eq!(bench.ordered(), [run(1)]);
+}
--- a/tests/gate_bench/mod.rs
+++ b/tests/gate_bench/mod.rs
@@ -36,6 +36,8 @@
     pub by_median: bool,
     /// Expected time of ordered runs.
     pub expected_us: u64,
+    /// Label that ordered runs require.
+    pub label: Option<String>,
 }
 
 pub fn resources(cpu_milli: u64) -> Resources {
@@ -106,6 +108,7 @@
             implicated: false,
             by_median: false,
             expected_us: 100 * MS,
+            label: None,
         }
     }
 
@@ -203,6 +206,7 @@
             movable: self.movable,
             implicated: self.implicated,
             number: self.sent,
+            label: self.label.clone(),
         };
         ToGate::Start(Box::new(order))
     }
