--- a/tests/ephemeral_dispatcher.rs
+++ b/tests/ephemeral_dispatcher.rs
@@ -38,6 +38,46 @@
     assert_ne!(first, second);
 }
 
+/// The gate may have a worker of another kind by the time the order arrives.
+#[test]
+fn order_carries_the_required_label() {
+    let mut bench = Bench::new(1);
+    let spec = JobSpec {
+        constraints: Constraints {
+            label: Some("a".into()),
+            ..Constraints::default()
+        },
+        ..job(1, 1)
+    };
+    bench.submit(1, spec, 0);
+    let label = bench.actions.iter().find_map(|action| match action {
+        DispatchAction::Send {
+            message: ToGate::Start(order),
+            ..
+        } => order.label.clone(),
+        _ => None,
+    });
+    assert_eq!(label.as_deref(), Some("a"));
+}
+
+/// The refusal comes before the load with the next worker, so the entry knows no better yet.
+#[test]
+fn task_refused_for_its_label_is_placed_on_another_gate() {
+    let mut bench = Bench::new(2);
+    let spec = JobSpec {
+        constraints: Constraints {
+            label: Some("a".into()),
+            ..Constraints::default()
+        },
+        ..job(1, 1)
+    };
+    bench.submit(1, spec, 0);
+    let refused = RunEnd::NotRun(NotRunReason::NoWorker);
+    bench.end_run(bench.starts[0], refused);
+    assert_eq!(bench.starts.len(), 2);
+    assert_ne!(bench.starts[0].0, bench.starts[1].0);
+}
+
 #[test]
 fn failed_task_is_retried_on_another_gate_and_fails_its_job_after_its_attempts() {
     let mut bench = Bench::new(2);
