--- a/src/ephemeral/gate/answers.rs
+++ b/src/ephemeral/gate/answers.rs
@@ -93,11 +93,11 @@
                 info!(self.log, "start not sent: another incarnation answered"; "run" => %run,
                     "worker" => %worker);
                 self.check_incarnation();
-                self.end_refused_start(now, run);
+                self.end_undelivered_start(now, run);
             }
             Err(WorkerCallError::Refused) => {
                 self.connection_refused(now);
-                self.end_refused_start(now, run);
+                self.end_undelivered_start(now, run);
             }
             Err(err) if starting => {
                 info!(self.log, "start failed"; "run" => %run, "error" => %err);
@@ -115,7 +115,7 @@
     }
 
     /// Ends a run whose last start certainly did not reach the worker.
-    fn end_refused_start(&mut self, now: Moment, run: RunId) {
+    fn end_undelivered_start(&mut self, now: Moment, run: RunId) {
         let Some(record) = self.runs.get(&run) else {
             return;
         };
