--- a/tests/ephemeral_dispatcher.rs
+++ b/tests/ephemeral_dispatcher.rs
@@ -38,18 +38,21 @@
     assert_ne!(first, second);
 }
 
-/// The gate may have a worker of another kind by the time the order arrives.
-#[test]
-fn order_carries_the_required_label() {
-    let mut bench = Bench::new(1);
-    let spec = JobSpec {
+fn job_that_requires(label: &str) -> JobSpec {
+    JobSpec {
         constraints: Constraints {
-            label: Some("a".into()),
+            label: Some(label.into()),
             ..Constraints::default()
         },
         ..job(1, 1)
-    };
-    bench.submit(1, spec, 0);
+    }
+}
+
+/// The gate may have a worker of another kind by the time the order arrives.
+#[test]
+fn order_carries_the_required_label() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, job_that_requires("a"), 0);
     let label = bench.actions.iter().find_map(|action| match action {
         DispatchAction::Send {
             message: ToGate::Start(order),
@@ -64,14 +67,7 @@
 #[test]
 fn task_refused_for_its_label_is_placed_on_another_gate() {
     let mut bench = Bench::new(2);
-    let spec = JobSpec {
-        constraints: Constraints {
-            label: Some("a".into()),
-            ..Constraints::default()
-        },
-        ..job(1, 1)
-    };
-    bench.submit(1, spec, 0);
+    bench.submit(1, job_that_requires("a"), 0);
     let refused = RunEnd::NotRun(NotRunReason::NoWorker);
     bench.end_run(bench.starts[0], refused);
     assert_eq!(bench.starts.len(), 2);
