Entries register each job at a gate before they start a task of it

What callers saw: a task ran on two workers at once, and its result twice.

Cause: two entries had the same job. A request reached an entry after its caller had left and resent the job to another entry. All defences were bounds of time at the first entry, and the time before it has no bound: the network, the balancer or a listen queue may hold back the opening of the connection as well, and the end of the connection may come late or never. Entries that have the same job never met.

Ruled out: a longer wait for the end of a connection (moves the gap), showing that a request is fresh by the entry's own pauses (an opening packet lost elsewhere is not seen), a record in the store for each job (its write rate), asking only for requests that may be old (those that come again may look fresh), starting at once and stopping on a conflict (runs overlap for a round trip).

Change: no task starts before a gate, chosen by a hash of the job, has registered the job for its entry. A second entry waits until the first has no run of the job left and then answers with its outcome, or starts the job.

Conclusion: the age of a request does not matter any more. Agents are to be updated before entries.

--- a/src/ephemeral/dispatcher/deferral.rs
+++ b/src/ephemeral/dispatcher/deferral.rs
@@ -304,7 +304,7 @@
             let send = job.may_have_run || self.has_spare_room(now, &job);
             let waiting: Vec<u32> = job.waiting_tasks().collect();
             self.jobs.insert(position.job, job);
-            if send {
+            if send && self.may_start(now, position.job) {
                 self.deferral.remove(position.job);
                 let mut any_unplaced = false;
                 for index in waiting {
--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -30,7 +30,9 @@
         let gate = gate.or_insert_with(|| GateView::new(now.mono_us));
         gate.begin_session(now);
         gate.claimed = open.iter().map(|claimed| claimed.run).collect();
-        gate.session = None;
+        if gate.session.take().is_some() {
+            gate.session_lost_us = now.mono_us;
+        }
         self.close_sessions(name);
         info!(self.log, "gate connected"; "gate" => &**name, "open_runs" => open.len());
         let gate_session = GateSession {
@@ -39,6 +41,7 @@
         };
         self.sessions.insert(session, gate_session);
         self.subset.set_available(name, true);
+        self.subset.set_reachable(name, true);
         let message = ToGate::Hello {
             entry: self.process_id.clone(),
             config: self.configs.version(),
@@ -73,7 +76,7 @@
 
     /// Handles the end of a session. The gate is kept until it has been silent for too
     /// long.
-    pub fn disconnected(&mut self, session: SessionId) {
+    pub fn disconnected(&mut self, now: Moment, session: SessionId) {
         let Some(GateSession { gate: name, .. }) = self.sessions.remove(&session) else {
             return;
         };
@@ -82,6 +85,8 @@
             && gate.session == Some(session)
         {
             gate.session = None;
+            gate.session_lost_us = now.mono_us;
+            self.move_registrations(now, &name);
         }
     }
 
@@ -125,6 +130,10 @@
                 self.send_config_part(session, asker, wanted);
             }
             ToEntry::ConfigPart(part) => self.receive_config_part(now, session, &part),
+            ToEntry::Registered { job } => self.registered(now, &name, job),
+            ToEntry::HeldElsewhere { job } => self.held_elsewhere(&name, job),
+            ToEntry::CompletedElsewhere { job } => self.completed_elsewhere(now, &name, job),
+            ToEntry::Inquiry { job } => self.inquired(&name, job),
         }
     }
 
@@ -146,6 +155,7 @@
             view.incarnation = gate.incarnation;
         }
         self.stop_stale_claims(name, session, &claimed);
+        self.renew_registrations(now, name);
         self.record_gate_config(now, name, config);
         // A configuration may have been applied between the hello and its answer.
         if self.configs.version() > config {
@@ -218,6 +228,9 @@
         if now.mono_us > self.last_tick_us + micros(MAX_TICK_INTERVAL) {
             self.reading_since_us = now.mono_us;
         }
+        if now.mono_us > self.last_tick_us + micros(self.limits.peer_timeout) {
+            self.drop_registrations(now);
+        }
         self.last_tick_us = now.mono_us;
     }
 
@@ -230,6 +243,7 @@
         };
         info!(self.log, "gate dropped after silence"; "gate" => &**name,
             "silent_us" => now.mono_us.saturating_sub(gate.last_frame_us));
+        self.move_registrations(now, name);
         self.update_open_gate_since(now);
         self.close_sessions(name);
         let lost: Vec<JobId> = self
@@ -271,6 +285,7 @@
     /// Records that a gate could not be reached.
     pub fn gate_unreachable(&mut self, gate: &Arc<str>) {
         self.subset.set_available(gate, false);
+        self.subset.set_reachable(gate, false);
     }
 
     /// Whether a session with this gate is needed, for new work or for open runs.
@@ -282,6 +297,7 @@
     /// Closes sessions outside the subset once they have had no work for the linger time.
     pub(super) fn close_surplus_sessions(&mut self, now: Moment) {
         self.subset.choose(now);
+        self.mark_registrars();
         let (linger, subset) = (self.limits.linger, &self.subset);
         let surplus = self.gates.extract_if(.., |name, gate| {
             let unwanted = subset.is_known(name) && !subset.is_wanted(name);
@@ -306,7 +322,10 @@
         }
         for (session, gate_session) in &mut self.sessions {
             let gate = self.gates.get(&gate_session.gate);
-            let busy = gate.is_some_and(|gate| gate.is_busy(now, self.limits.linger));
+            // A registrar takes a silent entry for lost.
+            let busy = gate.is_some_and(|gate| {
+                gate.is_busy(now, self.limits.linger) || gate.has_registrations
+            });
             let interval = match busy {
                 true => self.limits.heartbeat_interval,
                 false => self.limits.idle_heartbeat_interval,
@@ -324,6 +343,7 @@
 
     /// Removes a run that is no longer at a gate.
     pub(super) fn run_left_gate(&mut self, now: Moment, name: &Arc<str>, run: RunId, end: RunEnd) {
+        self.record_run_end(run);
         let Some(gate) = self.gates.get_mut(name) else {
             return;
         };
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::ephemeral::dispatcher::WaiterId;
+use crate::ephemeral::dispatcher::registration::Registration;
 use crate::ephemeral::job::{JobSpec, Priority, RunId};
 use crate::ephemeral::routes::Route;
 use crate::ephemeral::run_spread::RunSpread;
@@ -70,8 +71,11 @@
     /// Whether its route exceeds its usual demand while room is short.
     pub surplus: bool,
     pub tasks: Vec<Task>,
-    /// Whether a worker may have begun one of its tasks.
+    /// Whether a worker may have begun one of its tasks, for this entry or another one.
     pub may_have_run: bool,
+    pub registration: Registration,
+    /// Registrars that were asked, by name.
+    pub asked_registrars: Vec<Arc<str>>,
     /// Until when it waits for any gate, if none took work when it arrived.
     pub parked_until_us: Option<u64>,
     /// Until when it is held for spare room, if it is deferred and has not begun.
@@ -111,6 +115,8 @@
             expected_us,
             spread: None,
             may_have_run: false,
+            registration: Registration::default(),
+            asked_registrars: Vec::new(),
             parked_until_us: None,
             deferred_until_us: None,
             withdrawal_reason: None,
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -19,6 +19,7 @@
 mod lag;
 mod losses;
 mod progress;
+mod registration;
 mod typical_run;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -52,6 +53,7 @@
 use job::{Job, TaskState};
 use lag::Lag;
 use losses::may_wait_apart;
+use registration::Registrations;
 use typical_run::TypicalRun;
 
 /// How long the answers of finished jobs are kept for callers that submit again.
@@ -155,6 +157,7 @@
     fair_shares: FairShares,
     caller_waits: CallerWaits,
     cancellations: Cancellations,
+    registrations: Registrations,
     placer: Placer,
     rng: StdRng,
     run_times: RunTimes,
@@ -197,6 +200,7 @@
             fair_shares: FairShares::default(),
             caller_waits: CallerWaits::default(),
             cancellations: Cancellations::default(),
+            registrations: Registrations::default(),
             run_times: RunTimes::default(),
             run_spreads: RunSpreads::default(),
             typical_run: TypicalRun::default(),
@@ -250,13 +254,17 @@
         let Some(job) = self.jobs.get(&id).filter(|job| !job.is_deferred()) else {
             return;
         };
+        let key = (job.latest_begin_us(), id);
         let waiting: Vec<u32> = job.waiting_tasks().collect();
+        if !waiting.is_empty() && !self.may_start(now, id) {
+            self.backlog.insert(key);
+            return;
+        }
         let mut any_unplaced = false;
         for index in waiting {
             any_unplaced |= !self.place_task(now, id, index);
         }
-        if let Some(job) = self.jobs.get(&id) {
-            let key = (job.latest_begin_us(), id);
+        if self.jobs.contains_key(&id) {
             match any_unplaced {
                 true => self.backlog.insert(key),
                 false => self.backlog.remove(&key),
@@ -411,6 +419,7 @@
         self.give_up_late_jobs(now);
         self.end_unserved_deferred(now);
         self.drop_silent_gates(now);
+        self.expire_ending_runs(now);
         self.close_surplus_sessions(now);
         self.redial_overdue_gates(now);
         self.fetch_config(now);
@@ -512,7 +521,7 @@
         self.deadlines.remove(&(job.deadline_us, id));
         self.log_end(now, &job, &answer);
         let runs = job.tasks.iter().map(|task| task.runs).max();
-        for waiter in job.waiters {
+        for waiter in job.waiters.iter().copied() {
             let answer = answer.clone();
             self.actions.push(DispatchAction::Reply { waiter, answer });
         }
@@ -523,6 +532,7 @@
         };
         self.finished.insert(id, finished);
         self.finished_order.push_back((now.mono_us, id));
+        self.end_registration(now, &job);
     }
 
     fn log_end(&self, now: Moment, job: &Job, answer: &Answer) {
--- a/src/ephemeral/entry/mod.rs
+++ b/src/ephemeral/entry/mod.rs
@@ -258,7 +258,7 @@
                 if age_us > micros(self.parts.limits.max_frame_age) {
                     warn!(self.parts.log, "frame exceeded the maximum age; closing session";
                         "session" => session.0, "age_us" => age_us);
-                    self.end_session(session, SessionEndCause::LateFrame);
+                    self.end_session(now, session, SessionEndCause::LateFrame);
                     return;
                 }
                 self.dispatcher.frame_received(now, session);
@@ -267,7 +267,7 @@
                 }
             }
             Event::Session(SessionEvent::Closed(session)) => {
-                self.end_session(session, SessionEndCause::Closed);
+                self.end_session(now, session, SessionEndCause::Closed);
             }
             Event::Dialed(name, stream) => self.dial_finished(now, &name, stream),
             Event::Gates(changes) => {
@@ -335,10 +335,10 @@
         self.dispatcher.remove_waiter(now, waiter, job);
     }
 
-    fn end_session(&mut self, session: SessionId, cause: SessionEndCause) {
+    fn end_session(&mut self, now: Moment, session: SessionId, cause: SessionEndCause) {
         cause.count(&self.parts.metrics);
         self.sessions.close(session);
-        self.dispatcher.disconnected(session);
+        self.dispatcher.disconnected(now, session);
         self.dialer.session_closed(session);
     }
 
@@ -400,6 +400,7 @@
             self.metrics_reported_us = now.mono_us;
             self.sessions.report_frame_counts(&self.parts.metrics);
             self.dispatcher.record_gate_metrics(&self.parts.metrics);
+            self.dispatcher.report_registrations(&self.parts.metrics);
             self.dispatcher.record_lag_metrics(now, &self.parts.metrics);
             let delay_ms = std::mem::take(&mut self.max_turn_delay).as_millis() as u64;
             self.parts.metrics.time("turn_late_ms", delay_ms);
@@ -417,10 +418,10 @@
                     self.sessions.send(session, message);
                 }
                 DispatchAction::Close(session) => {
-                    self.end_session(session, SessionEndCause::GivenUp)
+                    self.end_session(now, session, SessionEndCause::GivenUp)
                 }
                 DispatchAction::CloseSurplus(session) => {
-                    self.end_session(session, SessionEndCause::Surplus)
+                    self.end_session(now, session, SessionEndCause::Surplus)
                 }
                 DispatchAction::Redial(gate) => self.dialer.suspect_connection(&gate),
                 DispatchAction::Reply { waiter, answer } => {
@@ -435,7 +436,7 @@
         for session in self.sessions.flush(now) {
             warn!(self.parts.log, "cannot queue frame for gate; closing session";
                 "session" => session.0);
-            self.end_session(session, SessionEndCause::Stuck);
+            self.end_session(now, session, SessionEndCause::Stuck);
         }
         let (gates, jobs) = (self.dispatcher.open_gates(), self.dispatcher.open_jobs());
         let mut status = self.status();
--- a/src/ephemeral/frame_counts.rs
+++ b/src/ephemeral/frame_counts.rs
@@ -12,6 +12,8 @@
     Order,
     /// Reports beginnings or ends of runs.
     Report,
+    /// Registers a job, or answers that.
+    Registration,
     /// Carries a configuration or its version.
     Config,
     /// Carries only the load of a gate.
@@ -21,10 +23,11 @@
 }
 
 /// All kinds, in order.
-const KINDS: [FrameKind; 6] = [
+const KINDS: [FrameKind; 7] = [
     FrameKind::Hello,
     FrameKind::Order,
     FrameKind::Report,
+    FrameKind::Registration,
     FrameKind::Config,
     FrameKind::Load,
     FrameKind::Beat,
@@ -37,6 +40,7 @@
             FrameKind::Hello => "hello",
             FrameKind::Order => "order",
             FrameKind::Report => "report",
+            FrameKind::Registration => "registration",
             FrameKind::Config => "config",
             FrameKind::Load => "load",
             FrameKind::Beat => "beat",
--- a/src/ephemeral/gate/mod.rs
+++ b/src/ephemeral/gate/mod.rs
@@ -7,7 +7,8 @@
 //! running and the ended runs. A run whose start was not answered keeps its reservation
 //! until the worker has acknowledged a stop and a later list omits it. The runs of an entry
 //! that has been silent for too long are stopped. A restarted gate starts nothing until each
-//! listed run has been claimed by its entry or has ended.
+//! listed run has been claimed by its entry or has ended. Apart from its runs, a gate holds
+//! registrations of jobs that may run anywhere.
 
 mod announcement;
 mod answers;
@@ -21,8 +22,8 @@
 mod pace;
 mod patience;
 mod pause;
-
 mod queue;
+mod registrations;
 mod restart;
 mod sessions;
 mod speed;
@@ -54,6 +55,7 @@
 use pace::ProgressSample;
 use patience::PatienceCounts;
 use queue::QueuePosition;
+use registrations::Registrations;
 use restart::CarryOver;
 use sessions::EntryState;
 use worker_incarnations::Successor;
@@ -254,6 +256,7 @@
     answer_times: AnswerTimes,
     entries: BTreeMap<ProcessId, EntryState>,
     sessions: HashMap<SessionId, ProcessId>,
+    registrations: Registrations,
     runs: BTreeMap<RunId, Run>,
     queue: BTreeSet<QueuePosition>,
     /// Runs that ended within [`ENDED_RUN_RETENTION`], except those that never reached the worker.
@@ -316,6 +319,7 @@
             answer_times: AnswerTimes::default(),
             entries: BTreeMap::new(),
             sessions: HashMap::new(),
+            registrations: Registrations::default(),
             runs: BTreeMap::new(),
             queue: BTreeSet::new(),
             ended_runs: HashMap::new(),
@@ -501,7 +505,9 @@
 
     /// Handles timeouts.
     pub fn tick(&mut self, now: Moment) {
+        self.registrations.record_turn(now);
         self.expire_entries(now);
+        self.end_registrations(now);
         self.expire_queued(now);
         self.stop_unclaimed(now);
         self.resend_stops(now);
--- a/src/ephemeral/gate/pause.rs
+++ b/src/ephemeral/gate/pause.rs
@@ -35,6 +35,7 @@
     fn is_settled(&self) -> bool {
         let mut runs = self.runs.values();
         self.unclaimed.is_empty()
+            && self.registrations.is_settled()
             && self.missed_answers == 0
             && self.successor.is_none()
             && runs.all(|run| run.state == RunState::Running)
--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -87,6 +87,14 @@
             ToGate::ConfigVersion(version) => self.note_config_version(&entry, version),
             ToGate::WantConfig(wanted) => self.request_config_part(session, wanted),
             ToGate::ConfigPart { asker, part } => self.forward_config_part(asker, part),
+            ToGate::Register {
+                job,
+                for_us,
+                confirmed,
+            } => self.register(now, &entry, job, for_us, confirmed),
+            ToGate::Released { job, complete } => {
+                self.release_registration(now, &entry, job, complete);
+            }
             ToGate::Beat | ToGate::Hello { .. } => {}
         }
     }
@@ -289,6 +297,7 @@
             return;
         };
         let silent_us = now.mono_us.saturating_sub(state.last_frame_us);
+        self.expire_registrations(entry, state.last_frame_us);
         let owned: Vec<RunId> = self
             .runs
             .iter()
@@ -402,8 +411,14 @@
     }
 }
 
+/// Recipient of a message that a load report goes along with. Answers to registrations are too many
+/// for that.
 fn recipient(action: &GateAction) -> Option<SessionId> {
     match action {
+        GateAction::Send {
+            message: ToEntry::Registered { .. },
+            ..
+        } => None,
         GateAction::Send { session, .. } => Some(*session),
         _ => None,
     }
--- a/src/ephemeral/limits.rs
+++ b/src/ephemeral/limits.rs
@@ -114,7 +114,12 @@
     /// Longest time that a run continues after its caller has left, if its owner stops at the
     /// same time; without the error in the estimated age of the owner's last frame.
     pub fn max_orphan_time(&self) -> Duration {
-        self.caller_check + self.peer_timeout + self.lease.mul_f64(MAX_CLOCK_SLOWDOWN) + self.stop
+        self.caller_check + self.max_run_without_owner()
+    }
+
+    /// Longest time that a run continues after its owner has sent its last frame.
+    pub fn max_run_without_owner(&self) -> Duration {
+        self.peer_timeout + self.lease.mul_f64(MAX_CLOCK_SLOWDOWN) + self.stop
     }
 
     /// Whether a run always ends before its job is resent.
--- a/src/ephemeral/message.rs
+++ b/src/ephemeral/message.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ephemeral::frame_counts::{FrameKind, FrameMessage};
-use crate::ephemeral::job::{Priority, Resources, RunId};
+use crate::ephemeral::job::{JobId, Priority, Resources, RunId};
 use crate::ephemeral::losses::WorkerLoss;
 use crate::ephemeral::session::SessionId;
 use crate::ephemeral::worker_id::WorkerId;
@@ -138,6 +138,22 @@
         /// The part.
         part: ConfigPart,
     },
+    /// Registers a job at its registrar.
+    Register {
+        /// The job.
+        job: JobId,
+        /// How long the job may have runs from now on, in microseconds.
+        for_us: u64,
+        /// Whether another registrar has let the job start already; there is no answer then.
+        confirmed: bool,
+    },
+    /// Ends the registration of a job, as no run of it is left at this entry.
+    Released {
+        /// The job.
+        job: JobId,
+        /// Whether all its tasks are done.
+        complete: bool,
+    },
 }
 
 impl FrameMessage for ToGate {
@@ -150,6 +166,7 @@
             ToGate::ConfigVersion(_) | ToGate::WantConfig(_) | ToGate::ConfigPart { .. } => {
                 FrameKind::Config
             }
+            ToGate::Register { .. } | ToGate::Released { .. } => FrameKind::Registration,
         }
     }
 }
@@ -243,6 +260,26 @@
     },
     /// Part of a newer configuration, as requested.
     ConfigPart(ConfigPart),
+    /// The job is registered: its tasks may start.
+    Registered {
+        /// The job.
+        job: JobId,
+    },
+    /// Another entry has the job. Another answer follows once it has released it.
+    HeldElsewhere {
+        /// The job.
+        job: JobId,
+    },
+    /// Another entry has completed the job.
+    CompletedElsewhere {
+        /// The job.
+        job: JobId,
+    },
+    /// Another entry waits for the job; to be answered with [`ToGate::Released`] once it is over.
+    Inquiry {
+        /// The job.
+        job: JobId,
+    },
 }
 
 impl FrameMessage for ToEntry {
@@ -254,6 +291,10 @@
             ToEntry::ConfigVersion(_) | ToEntry::WantConfig { .. } | ToEntry::ConfigPart(_) => {
                 FrameKind::Config
             }
+            ToEntry::Registered { .. }
+            | ToEntry::HeldElsewhere { .. }
+            | ToEntry::CompletedElsewhere { .. }
+            | ToEntry::Inquiry { .. } => FrameKind::Registration,
         }
     }
 }
--- a/src/ephemeral/mod.rs
+++ b/src/ephemeral/mod.rs
@@ -15,6 +15,7 @@
 //! - [`scheduling`]: scheduling features that the configuration enables.
 //! - [`losses`]: worker losses by task, and when a task is abandoned.
 //! - [`subset`]: the gates that an entry has sessions with.
+//! - [`registrars`]: the gates that keep two entries from running the same job.
 //! - [`callers`]: callers that wait for an answer, and whether they are still connected.
 //! - [`instance_resources`], [`caller_connections`], [`request_memory`]: how many connections and
 //!   how much memory callers may hold in an entry.
@@ -46,6 +47,7 @@
 pub mod losses;
 pub mod message;
 pub mod placement;
+pub mod registrars;
 pub mod request_memory;
 pub mod room;
 pub mod routes;
--- a/src/ephemeral/placement.rs
+++ b/src/ephemeral/placement.rs
@@ -68,6 +68,8 @@
 pub struct GateView {
     /// Open session, once the gate has answered the hello.
     pub session: Option<SessionId>,
+    /// When the last session ended, in monotonic microseconds.
+    pub session_lost_us: u64,
     /// Last known incarnation of the gate.
     pub incarnation: u64,
     /// When the last frame arrived, in monotonic microseconds.
@@ -100,6 +102,10 @@
     /// Until when it counts as having an implicated run of another entry, in monotonic
     /// microseconds.
     implicated_until_us: u64,
+    /// Whether its session serves only to register jobs; no task is placed there then.
+    pub is_only_registrar: bool,
+    /// Whether open jobs are registered there.
+    pub has_registrations: bool,
 }
 
 impl GateView {
@@ -107,6 +113,7 @@
     pub fn new(now_us: u64) -> GateView {
         GateView {
             session: None,
+            session_lost_us: 0,
             incarnation: 0,
             last_frame_us: now_us,
             load: GateLoad::default(),
@@ -122,6 +129,8 @@
             overdue: false,
             reserved_cpu_milli: 0,
             implicated_until_us: 0,
+            is_only_registrar: false,
+            has_registrations: false,
         }
     }
 
@@ -250,9 +259,12 @@
         now.mono_us < self.implicated_until_us
     }
 
-    /// Whether the gate takes work now.
+    /// Whether the gate takes work of this entry now.
     pub fn is_open(&self) -> bool {
-        self.session.is_some() && self.load.worker.is_some() && !self.load.leaving
+        self.session.is_some()
+            && self.load.worker.is_some()
+            && !self.load.leaving
+            && !self.is_only_registrar
     }
 
     /// Its worker, if it has one.
--- a/src/ephemeral/subset.rs
+++ b/src/ephemeral/subset.rs
@@ -19,6 +19,7 @@
 use crate::ephemeral::job::JobSpec;
 use crate::ephemeral::message::WorkerTraits;
 use crate::ephemeral::placement::PlacementRequest;
+use crate::ephemeral::registrars::Registrars;
 use crate::time::{Moment, micros};
 
 /// Minimum number of gates for each service.
@@ -131,6 +132,7 @@
     first_update_us: Option<u64>,
     demands: HashMap<JobKind, Demand>,
     wanted: HashSet<Arc<str>>,
+    registrars: Registrars,
     choice_due: bool,
     last_choice_us: u64,
 }
@@ -146,6 +148,7 @@
             first_update_us: None,
             demands: HashMap::new(),
             wanted: HashSet::new(),
+            registrars: Registrars::default(),
             choice_due: false,
             last_choice_us: 0,
         }
@@ -172,6 +175,7 @@
                 worker: record.worker.as_ref().map(|worker| worker.traits.clone()),
                 missing_since_us: None,
             };
+            self.registrars.insert(&candidate.name);
             self.candidates.insert(rank, candidate);
         }
         self.choice_due = true;
@@ -226,6 +230,7 @@
             missing.is_some_and(|since_us| now.mono_us > since_us + micros(MISSING_RECORD_GRACE))
         });
         for (_, candidate) in gone {
+            self.registrars.remove(&candidate.name);
             self.unavailable.remove(&candidate.name);
         }
     }
@@ -269,9 +274,24 @@
         (self.candidates.len(), self.wanted.len())
     }
 
-    /// Whether the gate is in the subset.
+    /// Whether the gate is in the subset, or a registrar.
     pub fn is_wanted(&self, gate: &str) -> bool {
-        self.wanted.contains(gate)
+        self.wanted.contains(gate) || self.registrars.is_wanted(gate)
+    }
+
+    /// Whether the gate is a registrar outside the subset.
+    pub fn is_only_registrar(&self, gate: &str) -> bool {
+        !self.wanted.contains(gate) && self.registrars.is_wanted(gate)
+    }
+
+    /// The gates at which jobs are registered.
+    pub fn registrars(&self) -> &Registrars {
+        &self.registrars
+    }
+
+    /// Records whether a gate can be reached, whether or not it takes work.
+    pub fn set_reachable(&mut self, gate: &Arc<str>, is_reachable: bool) {
+        self.registrars.set_reachable(gate, is_reachable);
     }
 
     /// Whether the gate has a record, or had one until recently.
--- a/tests/dispatcher_bench/mod.rs
+++ b/tests/dispatcher_bench/mod.rs
@@ -6,6 +6,7 @@
 
 use slog::Logger;
 use winghold::code::ResultCode;
+use winghold::ephemeral::directory::GateRecord;
 use winghold::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
 use winghold::ephemeral::job::{Constraints, JobId, JobSpec, Resources, RunId};
 use winghold::ephemeral::limits::Limits;
@@ -27,6 +28,8 @@
     pub stops: Vec<RunId>,
     pub answers: Vec<(WaiterId, Answer)>,
     pub actions: Vec<DispatchAction>,
+    /// Whether gates register all jobs at once.
+    pub answers_registrations: bool,
 }
 
 pub fn cpu(cpu_milli: u64) -> Resources {
@@ -122,6 +125,7 @@
             stops: Vec::new(),
             answers: Vec::new(),
             actions: Vec::new(),
+            answers_registrations: true,
         };
         for gate in 1..=gates {
             bench.connect(gate);
@@ -142,6 +146,19 @@
         self.deliver(session.0, hello);
     }
 
+    /// Passes the records of the first gates to the dispatcher, which then registers jobs.
+    pub fn publish_gates(&mut self, gates: u64) {
+        let record = |gate| GateRecord {
+            gate: format!("g{gate}").into(),
+            addr: ([127, 0, 0, 1], 1).into(),
+            worker: None,
+            losses: Vec::new(),
+        };
+        let records: Vec<GateRecord> = (1..=gates).map(record).collect();
+        self.dispatcher.update_gates(self.now, &records.into());
+        self.advance(0);
+    }
+
     pub fn load(&mut self, gate: u64, load: GateLoad) {
         self.deliver(gate, ToEntry::Load(load));
     }
@@ -189,11 +206,15 @@
     }
 
     pub fn collect(&mut self) {
+        let mut registered = Vec::new();
         for action in self.dispatcher.take_actions(self.now) {
             match &action {
                 DispatchAction::Send { session, message } => match message {
                     ToGate::Start(order) => self.starts.push((*session, order.run)),
                     ToGate::Stop { run } => self.stops.push(*run),
+                    ToGate::Register { job, confirmed, .. } if !confirmed => {
+                        registered.push((session.0, *job));
+                    }
                     _ => {}
                 },
                 DispatchAction::Reply { waiter, answer } => {
@@ -203,6 +224,11 @@
             }
             self.actions.push(action);
         }
+        if self.answers_registrations {
+            for (session, job) in registered {
+                self.deliver(session, ToEntry::Registered { job });
+            }
+        }
     }
 
     pub fn codes(&self) -> Vec<ResultCode> {
--- a/tests/ephemeral_dispatcher.rs
+++ b/tests/ephemeral_dispatcher.rs
@@ -273,7 +273,7 @@
 fn reconnected_gate_gets_the_open_runs() {
     let mut bench = Bench::new(1);
     bench.submit(1, job(1, 1), 0);
-    bench.dispatcher.disconnected(SessionId(1));
+    bench.dispatcher.disconnected(bench.now, SessionId(1));
     bench.advance(100);
     assert!(bench.answers.is_empty());
     bench.actions.clear();
@@ -296,7 +296,7 @@
 fn claimed_run_of_an_ended_job_is_stopped_when_the_gate_answers() {
     let mut bench = Bench::new(1);
     bench.submit(1, job(1, 1), 0);
-    bench.dispatcher.disconnected(SessionId(1));
+    bench.dispatcher.disconnected(bench.now, SessionId(1));
     let name: Arc<str> = "g1".into();
     bench.dispatcher.connected(bench.now, &name, SessionId(9));
     bench
--- a/tests/ephemeral_fleet/callers.rs
+++ b/tests/ephemeral_fleet/callers.rs
@@ -29,6 +29,49 @@
         self.send(id);
     }
 
+    /// The job that was submitted last.
+    pub fn last_job(&self) -> JobId {
+        JobId(self.last_job)
+    }
+
+    /// Submits a job whose caller has sent it before: that request reaches `entry` now, the
+    /// resent one another entry after `resent_after_us`.
+    pub fn submit_after_late_request(
+        &mut self,
+        count: u32,
+        estimate_us: u64,
+        entry: usize,
+        resent_after_us: u64,
+    ) {
+        self.last_job += 1;
+        let caller = Caller {
+            count,
+            estimate_us,
+            waiter: None,
+            resend_at_us: Some(self.now_us + resent_after_us),
+            started: false,
+            only_refused: false,
+            losses_reported: false,
+            first_sent_us: self.now_us,
+            answer: None,
+        };
+        self.callers.insert(self.last_job(), caller);
+        self.deliver_late(self.last_job(), entry);
+    }
+
+    /// Delivers a request to an entry whose caller has left it unnoticed.
+    pub fn deliver_late(&mut self, id: JobId, entry: usize) {
+        self.last_waiter += 1;
+        let waiter = WaiterId(self.last_waiter);
+        if let (Some(caller), Some(process)) = (self.callers.get_mut(&id), &mut self.entries[entry])
+        {
+            // This request is not refused with the others.
+            caller.only_refused = false;
+            let submit = EntryEvent::Submit(waiter, id.0, caller.count, caller.estimate_us);
+            process.inbox.push_back(submit);
+        }
+    }
+
     pub(super) fn send(&mut self, id: JobId) {
         let index = self.rng.random_range(0..self.entries.len());
         self.last_waiter += 1;
--- a/tests/ephemeral_fleet/connections.rs
+++ b/tests/ephemeral_fleet/connections.rs
@@ -97,7 +97,7 @@
         self.separated.retain(|(separated, _)| *separated != entry);
     }
 
-    /// Whether an entry has work at a gate. It has no records of gates, so it wants
+    /// Whether an entry wants a session with a gate. Without records of gates, it wants
     /// sessions only for work.
     fn has_work(&self, entry: usize, gate: usize) -> bool {
         let process = self.entries[entry].as_ref();
@@ -148,7 +148,10 @@
                     .connections
                     .iter()
                     .any(|one| (one.entry, one.gate) == (entry, gate) && !one.to_entry.closed);
-                let wanted = !self.separated.contains(&(entry, gate)) || self.has_work(entry, gate);
+                let wanted = match self.registers_jobs {
+                    true => self.has_work(entry, gate),
+                    false => !self.separated.contains(&(entry, gate)) || self.has_work(entry, gate),
+                };
                 if awake && !open && wanted && self.reachable(entry, gate) {
                     self.connect(entry, gate);
                 }
--- a/tests/ephemeral_fleet/entries.rs
+++ b/tests/ephemeral_fleet/entries.rs
@@ -115,7 +115,7 @@
         }
         if let Some(process) = &mut self.entries[index] {
             for session in lost {
-                process.dispatcher.disconnected(session);
+                process.dispatcher.disconnected(now, session);
             }
         }
     }
--- a/tests/ephemeral_fleet/mod.rs
+++ b/tests/ephemeral_fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod worker;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 use rand::rngs::StdRng;
 use slog::{Logger, debug};
 use trace::TraceClock;
+use winghold::ephemeral::directory::GateRecord;
 use winghold::ephemeral::dispatcher::{DispatchAction, Dispatcher, WaiterId};
 use winghold::ephemeral::frame_clock::FrameClocks;
 use winghold::ephemeral::gate::Gate;
@@ -197,6 +199,8 @@
     /// Losses in the stored records of gates; they survive restarts.
     stored_losses: Vec<Vec<WorkerLoss>>,
     connections: Vec<Connection>,
+    /// Whether entries know the gates' records, and so register jobs.
+    registers_jobs: bool,
     /// Pairs of entry and gate that have a session only while there is work.
     separated: HashSet<(usize, usize)>,
     callers: BTreeMap<JobId, Caller>,
@@ -226,6 +230,15 @@
         Fleet::build(3, true, seed, limits, DisabledGuards::default())
     }
 
+    /// Three entries and six gates, at which the entries register jobs.
+    pub fn with_registrars(seed: u64, limits: Limits) -> Fleet {
+        let mut fleet = Fleet::with_gates(6, seed, limits, DisabledGuards::default());
+        fleet.registers_jobs = true;
+        (0..3).for_each(|index| fleet.publish_records(index));
+        fleet.run_for(100_000);
+        fleet
+    }
+
     /// Three entries and `gates` gates, each with a worker.
     pub fn with_gates(gates: usize, seed: u64, limits: Limits, disabled: DisabledGuards) -> Fleet {
         Fleet::build(gates, false, seed, limits, disabled)
@@ -267,6 +280,7 @@
             evacuated: HashMap::new(),
             stored_losses: vec![Vec::new(); gates],
             connections: Vec::new(),
+            registers_jobs: false,
             separated: HashSet::new(),
             callers: BTreeMap::new(),
             late: Vec::new(),
@@ -341,6 +355,27 @@
             sessions: 0,
             waiters: HashMap::new(),
         });
+        if self.registers_jobs {
+            self.publish_records(index);
+        }
+    }
+
+    /// Passes the records of all gates to an entry.
+    fn publish_records(&mut self, index: usize) {
+        let now = self.moment(index);
+        let record = |gate: usize| GateRecord {
+            gate: format!("gate-{gate}").into(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+            worker: Some(
+                self.build_report(gate, self.workers[gate].id.clone())
+                    .record(),
+            ),
+            losses: Vec::new(),
+        };
+        let records: Vec<GateRecord> = (0..self.gates.len()).map(record).collect();
+        if let Some(entry) = &mut self.entries[index] {
+            entry.dispatcher.update_gates(now, &records.into());
+        }
     }
 
     pub fn start_gate(&mut self, index: usize) {
--- a/tests/ephemeral_losses.rs
+++ b/tests/ephemeral_losses.rs
@@ -596,6 +596,7 @@
 #[test]
 fn job_with_enough_losses_in_the_directory_is_not_started() {
     let mut bench = EntryBench::new(2);
+    bench.publish_gates(2);
     let record = GateRecord {
         gate: "g9".into(),
         addr: ([127, 0, 0, 1], 1).into(),
@@ -619,7 +620,7 @@
     let mut bench = entry_with_start();
     let gate = bench.starts[0].0.0;
     bench.advance(10);
-    bench.dispatcher.disconnected(SessionId(gate));
+    bench.dispatcher.disconnected(bench.now, SessionId(gate));
     for _ in 0..6 {
         (1..=3).filter(|other| *other != gate).for_each(|other| {
             bench.dispatcher.frame_received(bench.now, SessionId(other));
--- a/tests/large_fleet/entries.rs
+++ b/tests/large_fleet/entries.rs
@@ -57,8 +57,8 @@
         }
     }
 
-    pub fn closed(&mut self, session: SessionId) {
-        self.dispatcher.disconnected(session);
+    pub fn closed(&mut self, now: Moment, session: SessionId) {
+        self.dispatcher.disconnected(now, session);
         self.dialer.session_closed(session);
     }
 
--- a/tests/large_fleet/mod.rs
+++ b/tests/large_fleet/mod.rs
@@ -344,8 +344,9 @@
         let Some((entry, gate)) = self.sessions.remove(&session) else {
             return;
         };
+        let now = self.now();
         if let Some(process) = &mut self.entries[entry] {
-            process.closed(session);
+            process.closed(now, session);
         }
         if let Some(process) = &mut self.gates[gate] {
             process.gate.session_closed(session);
--- a/tests/narrow_links/mod.rs
+++ b/tests/narrow_links/mod.rs
@@ -240,7 +240,9 @@
         };
         let session = self.sessions.remove(at);
         self.ended_sessions += 1;
-        self.entries[session.entry].dispatcher.disconnected(id);
+        self.entries[session.entry]
+            .dispatcher
+            .disconnected(self.now, id);
         self.gates[session.gate].session_closed(id);
     }
 
