Gate: a stopped run of a silent entry no longer keeps its lease

Cause: `has_active_runs` left out all runs that are being stopped, so an owner with only such runs got the idle timeout (4.1 s instead of 455 ms). A run that the gate stops for a reason of its own (stalled, start unanswered) has no `last_wanted_us` either, so nothing held the lease back when its owner had died.

Ruled out: unclaimed runs (no renewal while there are any), withdrawn and not claimed ones and those of expired owners (`last_wanted_us`), claimed and starting ones (active).

Change: a run is active for its owner until the owner has withdrawn it or is gone, whatever its state. The entry keeps such a run open until its end is reported, so its heartbeats stay fast.

--- a/src/ephemeral/gate/sessions.rs
+++ b/src/ephemeral/gate/sessions.rs
@@ -268,11 +268,12 @@
         state.is_some_and(|state| now.mono_us <= state.last_frame_us + silence_us)
     }
 
-    /// Whether the entry has runs here that are not being stopped. Such an entry sends
-    /// heartbeats at the shorter interval, and does so for the linger time afterwards.
+    /// Whether the entry has runs here that it has not withdrawn, also those that the gate stops
+    /// for a reason of its own: they stay open for the entry until their end is reported. Such an
+    /// entry sends heartbeats at the shorter interval, and does so for the linger time afterwards.
     pub(super) fn has_active_runs(&self, entry: &ProcessId) -> bool {
         let mut runs = self.runs.values();
-        runs.any(|run| run.owner == *entry && !matches!(run.state, RunState::Stopping { .. }))
+        runs.any(|run| run.owner == *entry && run.last_wanted_us.is_none())
     }
 
     /// Expires entries that have been silent for too long and stops their runs.
--- a/tests/ephemeral_restarts.rs
+++ b/tests/ephemeral_restarts.rs
@@ -49,6 +49,8 @@
     fence: u64,
     /// Highest run end that was acknowledged to this incarnation.
     acked_end: u64,
+    /// Whether stops are lost.
+    loses_stops: bool,
 }
 
 impl Restarts {
@@ -66,6 +68,7 @@
             ended: Vec::new(),
             fence: 0,
             acked_end: 0,
+            loses_stops: false,
         };
         restarts.answer();
         restarts.answer();
@@ -150,6 +153,7 @@
                 }
                 GateAction::Stop(call) => {
                     let answer = match call.fence >= self.fence {
+                        _ if self.loses_stops => Err(WorkerCallError::Unanswered),
                         true => Ok(()),
                         false => Err(WorkerCallError::Protocol),
                     };
@@ -168,12 +172,29 @@
     fn pass(&mut self, ms: u64) {
         for _ in 0..ms.div_ceil(10) {
             self.bench.gate.frame_received(self.bench.now, ENTRY);
+            self.pass_in_silence(10);
+        }
+    }
+
+    /// As `pass`, while the entry is silent.
+    fn pass_in_silence(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(10) {
             self.bench.advance(10);
             self.clock_ms += 10;
             self.answer();
         }
     }
 
+    /// Whether the pending poll renews the lease.
+    fn renews(&self) -> bool {
+        let actions = self.bench.actions.iter();
+        let mut polls = actions.filter_map(|action| match action {
+            GateAction::Poll(call) if !call.check => Some(call.lease_until_ms.is_some()),
+            _ => None,
+        });
+        polls.next_back().expect("a poll")
+    }
+
     fn known_worker(&mut self) -> Option<WorkerId> {
         self.pass(20);
         let load = self.bench.last_load();
@@ -438,3 +459,28 @@
         "the run continues at the new incarnation"
     );
 }
+
+/// Guards against a lease that keeps a run active after its entry has died, if the gate was stopping
+/// the run when the worker restarted and the start reached the next incarnation.
+#[test]
+fn lease_is_not_renewed_for_a_stopped_run_of_a_silent_entry_after_a_restart() {
+    let mut restarts = Restarts::ready();
+    restarts.loses_stops = true;
+    restarts.bench.order(run(1), 600, 100);
+    for _ in 0..3 {
+        let (bench, answer) = (&mut restarts.bench, Err(WorkerCallError::Unanswered));
+        let worker = &restarts.worker;
+        bench.gate.start_answered(bench.now, worker, run(1), answer);
+        bench.collect();
+    }
+    assert_eq!(restarts.bench.stops(), [run(1)]);
+    restarts.restart(NEXT_BORN_MS);
+    restarts.running.push(run(1));
+    restarts.report(born(NEXT_BORN_MS), 1);
+    restarts.pass(1_200);
+    assert!(restarts.renews(), "the entry is heard");
+    restarts.pass_in_silence(500);
+    assert!(!restarts.renews());
+    restarts.pass_in_silence(400);
+    assert!(!restarts.renews());
+}
