Heartbeats of another writer no longer move a worker

Ruled out: reports with another start time (a successor, dropped once the current incarnation answers).

A report of the current incarnation with another address is ignored as a whole, its sequence number too.

--- a/src/ephemeral/gate/incarnation.rs
+++ b/src/ephemeral/gate/incarnation.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::ephemeral::directory::WorkerRecord;
 use crate::ephemeral::limits::MAX_CLOCK_SLOWDOWN;
 use crate::ephemeral::message::WorkerTraits;
 use crate::ephemeral::worker::PollReply;
@@ -34,6 +35,8 @@
 pub(super) struct Incarnation {
     /// Identity and capacity of the worker.
     pub traits: Arc<WorkerTraits>,
+    /// Address at which it is called; the same for its whole life.
+    pub addr: String,
     /// Sequence number of its newest report.
     pub sequence: u64,
     /// Whether it announced that it is leaving.
@@ -64,9 +67,10 @@
 }
 
 impl Incarnation {
-    pub fn new(traits: WorkerTraits, now: Moment) -> Incarnation {
+    pub fn new(worker: &WorkerRecord, now: Moment) -> Incarnation {
         Incarnation {
-            traits: Arc::new(traits),
+            traits: Arc::new(worker.traits.clone()),
+            addr: worker.addr.clone(),
             sequence: 0,
             leaving: false,
             acked_end: 0,
@@ -85,13 +89,13 @@
 
     /// Creates an incarnation that may hold a lease of the previous one.
     pub fn with_inherited_lease(
-        traits: WorkerTraits,
+        worker: &WorkerRecord,
         now: Moment,
         inherited_lease_us: u64,
     ) -> Incarnation {
         Incarnation {
             inherited_lease_us,
-            ..Incarnation::new(traits, now)
+            ..Incarnation::new(worker, now)
         }
     }
 
--- a/src/ephemeral/gate/worker_incarnations.rs
+++ b/src/ephemeral/gate/worker_incarnations.rs
@@ -100,6 +100,13 @@
         let Some(incarnation) = &mut self.incarnation else {
             return;
         };
+        if report.addr != incarnation.addr {
+            // It is of another writer, or of an incarnation that has replaced one of the same name
+            // without a start time; the known address shows that by refusing connections.
+            warn!(self.log, "ignored worker report with another address"; "worker" => %report.id,
+                "addr" => &report.addr, "known_addr" => &incarnation.addr);
+            return;
+        }
         if report.sequence < incarnation.sequence {
             debug!(self.log, "ignored outdated worker report"; "sequence" => report.sequence);
             return;
@@ -248,7 +255,7 @@
         self.room.resize(worker.traits.capacity);
         let inherited_lease_us = self.take_inherited_lease();
         self.incarnation = Some(Incarnation::with_inherited_lease(
-            worker.traits.clone(),
+            worker,
             now,
             inherited_lease_us,
         ));
--- a/tests/ephemeral_worker_life.rs
+++ b/tests/ephemeral_worker_life.rs
@@ -445,3 +445,69 @@
     assert_eq!(bench.last_load().worker.unwrap().labels, ["b"]);
     assert_eq!(bench.ordered(), [run(1)]);
 }
+
+/// A report of the gate's worker that names another address and another capacity.
+fn report_from_elsewhere(sequence: u64) -> WorkerReport {
+    WorkerReport {
+        addr: "10.0.0.9:80".into(),
+        capacity: resources(8_000),
+        ..report("w", false, sequence)
+    }
+}
+
+/// Addresses that calls were directed to.
+fn addresses(bench: &Bench) -> Vec<&str> {
+    let addresses = bench.actions.iter().filter_map(|action| match action {
+        GateAction::SetWorker(worker) => Some(worker.addr.as_str()),
+        _ => None,
+    });
+    addresses.collect()
+}
+
+/// Guards against a report of another writer that moves the calls to an address where connections
+/// are refused: the worker would count as ended, and its tasks would run twice.
+#[test]
+fn report_with_another_address_does_not_move_the_worker() {
+    let mut bench = Bench::ready();
+    bench.order(run(1), 100, 0);
+    bench.answer_start(run(1), Ok(StartReply::Running));
+    bench
+        .gate
+        .worker_report(bench.now, report_from_elsewhere(1 << 40));
+    bench.collect();
+    assert_eq!(addresses(&bench), [""; 0]);
+    assert_eq!(bench.ends(), []);
+    bench.order(run(2), 2_000, 0);
+    assert!(!bench.ordered().contains(&run(2)), "its capacity is unused");
+}
+
+/// Guards against the loss of the worker's own reports behind the sequence number of such a report.
+#[test]
+fn report_with_another_address_hides_no_later_report() {
+    let mut bench = Bench::ready();
+    bench
+        .gate
+        .worker_report(bench.now, report_from_elsewhere(1 << 40));
+    bench.gate.worker_report(bench.now, report("w", true, 2));
+    bench.collect();
+    assert!(bench.last_load().leaving);
+}
+
+/// Guards against a gate that never finds a worker that has started again elsewhere under the same
+/// name, without a start time.
+#[test]
+fn worker_is_found_at_another_address_once_the_known_one_refuses() {
+    let mut bench = Bench::ready();
+    bench
+        .gate
+        .worker_report(bench.now, report_from_elsewhere(2));
+    let sent = bench.now;
+    let answer = Err(WorkerCallError::Refused);
+    let call = bench.poll_call();
+    bench.gate.poll_answered(bench.now, sent, &call, answer);
+    bench
+        .gate
+        .worker_report(bench.now, report_from_elsewhere(3));
+    bench.collect();
+    assert_eq!(addresses(&bench), ["10.0.0.9:80"]);
+}
