Registration: two registrars know of a running job, and a detected conflict ends

Ruled out: a longer time for the first registrar's answer (jobs wait for one that is lost).

Change: a confirmed job is registered at its first two registrars; while another entry has a job, only the registrar that said so can end the wait; on a conflict the entry that is registered at the less preferred registrar stops its runs and waits; a registrar that has started again ends no wait at once; expired entries no longer wait; held jobs wait until their deadline.

Conclusion: one slow or lost registrar no longer lets two entries run a job.

--- a/src/ephemeral/dispatcher/deferral.rs
+++ b/src/ephemeral/dispatcher/deferral.rs
@@ -294,8 +294,13 @@
 
     /// Tries the first queued jobs and sends those whose tasks all find spare room.
     pub(super) fn place_deferred(&mut self, now: Moment) {
-        let positions = self.deferral.queue.iter().take(MAX_TRIED_JOBS);
-        let candidates: Vec<QueuePosition> = positions.copied().collect();
+        let jobs = &self.jobs;
+        let may_begin = |position: &&QueuePosition| {
+            let job = jobs.get(&position.job);
+            job.is_none_or(|job| !job.registration.is_held_elsewhere())
+        };
+        let positions = self.deferral.queue.iter().filter(may_begin);
+        let candidates: Vec<QueuePosition> = positions.take(MAX_TRIED_JOBS).copied().collect();
         for position in candidates {
             let Some(job) = self.jobs.remove(&position.job) else {
                 continue;
@@ -344,7 +349,7 @@
         let jobs = positions.filter_map(|position| self.jobs.get(&position.job));
         let overdue = jobs.filter(|job| match job.is_untouched() {
             true => job.deferred_until_us.is_some_and(|us| us <= now.mono_us),
-            false => job.patience_us(now.mono_us) == 0,
+            false => job.patience_us(now.mono_us) == 0 && !job.registration.is_held_elsewhere(),
         });
         let overdue: Vec<JobId> = overdue.map(|job| job.spec.id).collect();
         for id in overdue {
--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -81,10 +81,11 @@
             return;
         };
         info!(self.log, "gate disconnected"; "gate" => &*name);
-        if let Some(gate) = self.gates.get_mut(&name)
-            && gate.session == Some(session)
-        {
-            gate.session = None;
+        let Some(gate) = self.gates.get_mut(&name) else {
+            return;
+        };
+        gate.session.take_if(|open| *open == session);
+        if gate.session.is_none() {
             gate.session_lost_us = now.mono_us;
             self.move_registrations(now, &name);
         }
@@ -150,12 +151,13 @@
         };
         view.session = Some(session);
         let claimed = std::mem::take(&mut view.claimed);
-        if view.incarnation != gate.incarnation {
+        let is_new = view.incarnation != gate.incarnation;
+        if is_new {
             info!(self.log, "gate has a new incarnation"; "gate" => &**name, "incarnation" => gate.incarnation);
             view.incarnation = gate.incarnation;
         }
         self.stop_stale_claims(name, session, &claimed);
-        self.renew_registrations(now, name);
+        self.renew_registrations(now, name, is_new);
         self.record_gate_config(now, name, config);
         // A configuration may have been applied between the hello and its answer.
         if self.configs.version() > config {
--- a/src/ephemeral/dispatcher/job.rs
+++ b/src/ephemeral/dispatcher/job.rs
@@ -74,7 +74,7 @@
     /// Whether a worker may have begun one of its tasks, for this entry or another one.
     pub may_have_run: bool,
     pub registration: Registration,
-    /// Registrars that were asked, by name.
+    /// Gates at which it was registered, by name.
     pub asked_registrars: Vec<Arc<str>>,
     /// Until when it waits for any gate, if none took work when it arrived.
     pub parked_until_us: Option<u64>,
--- a/src/ephemeral/dispatcher/mod.rs
+++ b/src/ephemeral/dispatcher/mod.rs
@@ -453,7 +453,9 @@
         let waiting: Vec<JobId> = self.backlog.iter().map(|(_, id)| *id).collect();
         for id in waiting {
             let late = self.jobs.get(&id).is_some_and(|job| {
-                job.patience_us(now.mono_us) == 0 && job.waiting_tasks().next().is_some()
+                job.patience_us(now.mono_us) == 0
+                    && job.waiting_tasks().next().is_some()
+                    && !job.registration.is_held_elsewhere()
             });
             if late {
                 self.give_up(now, id, "no room in time");
--- a/src/ephemeral/dispatcher/registration.rs
+++ b/src/ephemeral/dispatcher/registration.rs
@@ -23,14 +23,17 @@
 
 /// Time left for its caller from which a job that has ended is released at its registrar. Other
 /// registrations soon end by themselves.
-const MIN_RELEASED: Duration = Duration::from_secs(5);
+const MIN_TIME_LEFT_TO_RELEASE: Duration = Duration::from_secs(5);
 /// Time for which a job waits for a session with its preferred registrar, as a share of the
 /// heartbeat interval; after a pause, sessions come back one after the other.
-const RECONNECT_SHARE: f64 = 0.5;
+const RECONNECT_GRACE_SHARE: f64 = 0.5;
 /// Time for an answer of a registrar, as a share of the heartbeat interval; the next one is asked
 /// then.
 const ANSWER_TIMEOUT_SHARE: f64 = 0.25;
 
+/// Number of registrars that know of a job with runs, so that one of them may be slow or lost.
+const CONFIRMED_REGISTRARS: usize = 2;
+
 /// Registration of an open job.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) enum Registration {
@@ -45,6 +48,9 @@
     },
     /// Another entry has the job; the registrar answers again once that is over.
     HeldElsewhere { registrar: Arc<str> },
+    /// The registrar was lost while another entry had the job; requested again at `retry_us`, in
+    /// monotonic microseconds, so that this entry can register it elsewhere before.
+    Postponed { retry_us: u64 },
     /// Tasks may start.
     Confirmed { registrar: Arc<str> },
 }
@@ -53,18 +59,28 @@
     /// The registrar that was asked last.
     fn registrar(&self) -> Option<&Arc<str>> {
         match self {
-            Registration::Missing => None,
+            Registration::Missing | Registration::Postponed { .. } => None,
             Registration::Requested { registrar, .. }
             | Registration::HeldElsewhere { registrar }
             | Registration::Confirmed { registrar } => Some(registrar),
         }
     }
 
-    /// Whether a registrar is still to confirm it.
-    fn is_pending(&self) -> bool {
+    /// Whether this registrar's answer to the request is still of use. While another entry has the
+    /// job, only the registrar that said so can tell that this is over.
+    fn awaits_answer(&self, asked: &[Arc<str>], gate: &Arc<str>) -> bool {
+        match self {
+            Registration::Requested { .. } => asked.contains(gate),
+            Registration::HeldElsewhere { registrar } => registrar == gate,
+            _ => false,
+        }
+    }
+
+    /// Whether another entry has the job.
+    pub fn is_held_elsewhere(&self) -> bool {
         matches!(
             self,
-            Registration::Requested { .. } | Registration::HeldElsewhere { .. }
+            Registration::HeldElsewhere { .. } | Registration::Postponed { .. }
         )
     }
 
@@ -107,15 +123,11 @@
 }
 
 impl Job {
-    /// Has the registration requested again; from `retry_us` on if another entry held the job and
-    /// its registrar does not connect before, so that the holder can register it elsewhere first.
+    /// Has the registration requested again, from `retry_us` on if another entry had the job.
     fn drop_registration(&mut self, retry_us: u64) {
-        self.registration = match &self.registration {
-            Registration::HeldElsewhere { registrar } => Registration::Requested {
-                registrar: registrar.clone(),
-                at_us: retry_us,
-            },
-            _ => Registration::Missing,
+        self.registration = match self.registration.is_held_elsewhere() {
+            true => Registration::Postponed { retry_us },
+            false => Registration::Missing,
         };
         self.asked_registrars.clear();
     }
@@ -135,6 +147,7 @@
             _ if self.registrations.is_ending(id) => false,
             Registration::Confirmed { .. } => true,
             Registration::HeldElsewhere { .. } => false,
+            Registration::Postponed { retry_us } if now.mono_us < *retry_us => false,
             Registration::Requested { at_us, .. } if now.mono_us < at_us + micros(timeout) => false,
             Registration::Requested { registrar, .. } => {
                 debug!(self.log, "registrar did not answer"; "job" => %id, "gate" => &**registrar);
@@ -142,7 +155,7 @@
                 self.request_registration(now, id);
                 false
             }
-            Registration::Missing => {
+            Registration::Missing | Registration::Postponed { .. } => {
                 self.request_registration(now, id);
                 false
             }
@@ -188,7 +201,10 @@
         };
         let view = self.gates.get(gate);
         let lost_us = view.map_or(0, |view| view.session_lost_us);
-        let grace = self.limits.heartbeat_interval.mul_f64(RECONNECT_SHARE);
+        let grace = self
+            .limits
+            .heartbeat_interval
+            .mul_f64(RECONNECT_GRACE_SHARE);
         view.is_none_or(|view| view.session.is_none())
             && now.mono_us < job.arrived_us.max(lost_us).max(self.reading_since_us) + micros(grace)
     }
@@ -223,41 +239,66 @@
             // The job was given up meanwhile; the registrar asks if another entry wants it.
             return;
         };
-        if !job.registration.is_pending() {
+        if !job.registration.awaits_answer(&job.asked_registrars, gate) {
             return;
         }
         job.registration = Registration::Confirmed {
             registrar: gate.clone(),
         };
         let is_deferred = job.is_deferred();
-        self.confirm_at_preferred(now, id);
+        self.confirm_at_others(now, id, gate);
         match is_deferred {
             true => self.placement_due = true,
             false => self.place(now, id),
         }
     }
 
-    /// Registers a confirmed job at its preferred registrar as well if that was not asked.
-    fn confirm_at_preferred(&mut self, now: Moment, id: JobId) {
-        let Some(preferred) = self.open_registrars(id).next().cloned() else {
-            return;
-        };
-        let asked = self.jobs.get(&id).map(|job| &job.asked_registrars);
-        if asked.is_some_and(|asked| !asked.contains(&preferred)) {
-            self.send_registration(now, id, &preferred, true);
+    /// Registers a confirmed job at its first registrars other than `gate` as well, as another
+    /// entry may not reach that one in time.
+    fn confirm_at_others(&mut self, now: Moment, id: JobId, gate: &Arc<str>) {
+        let first = self.open_registrars(id).take(CONFIRMED_REGISTRARS);
+        let others: Vec<Arc<str>> = first.filter(|other| *other != gate).cloned().collect();
+        for other in others {
+            self.confirm_at(now, id, &other);
+        }
+    }
+
+    /// Registers a confirmed job at a further registrar.
+    fn confirm_at(&mut self, now: Moment, id: JobId, registrar: &Arc<str>) {
+        self.send_registration(now, id, registrar, true);
+        if let Some(job) = self.jobs.get_mut(&id)
+            && !job.asked_registrars.contains(registrar)
+        {
+            job.asked_registrars.push(registrar.clone());
         }
     }
 
-    /// Handles a registrar's report that another entry has the job.
+    /// Handles a registrar's report that another entry has the job. If another registrar has let
+    /// it start already, the entry that is registered at the preferred one of the two goes on.
     pub(super) fn held_elsewhere(&mut self, gate: &Arc<str>, id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        if job.registration.is_confirmed() {
+        let rank = |gate: &Arc<str>| {
+            self.subset
+                .registrars()
+                .of_job(id)
+                .position(|one| one == gate)
+        };
+        if let Registration::Confirmed { registrar } = &job.registration {
+            let yields = rank(gate) <= rank(registrar);
             warn!(self.log, "job is registered and held by another entry"; "job" => %id,
-                "gate" => &**gate);
+                "gate" => &**gate, "stopped" => yields);
+            if !yields {
+                return;
+            }
+            self.stop_runs(id);
+        } else if !job.registration.awaits_answer(&job.asked_registrars, gate) {
             return;
         }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         info!(self.log, "job is held by another entry"; "job" => %id, "gate" => &**gate);
         self.registrations.counts.held_elsewhere += 1;
         job.may_have_run = true;
@@ -268,8 +309,11 @@
 
     /// Handles a registrar's report that another entry has completed the job.
     pub(super) fn completed_elsewhere(&mut self, now: Moment, gate: &Arc<str>, id: JobId) {
-        let open = self.jobs.get(&id);
-        if open.is_none_or(|job| !job.registration.is_pending()) {
+        let awaited = self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.registration.awaits_answer(&job.asked_registrars, gate));
+        if !awaited {
             return;
         }
         info!(self.log, "job was completed by another entry"; "job" => %id, "gate" => &**gate);
@@ -327,12 +371,12 @@
             let ending = EndingRuns { runs, until_us };
             self.registrations.ending.insert(id, ending);
         }
-        if let Some(registrar) = job.registration.registrar().cloned() {
-            let ends_later = job.deadline_us > now.mono_us + micros(MIN_RELEASED);
+        let ends_later = job.deadline_us > now.mono_us + micros(MIN_TIME_LEFT_TO_RELEASE);
+        for registrar in &job.asked_registrars {
             match job.registration.is_confirmed() {
-                true if ends_later => self.add_inquiry(id, registrar),
+                true if ends_later => self.add_inquiry(id, registrar.clone()),
                 true => {}
-                false => self.send_release(id, &registrar, false),
+                false => self.send_release(id, registrar, false),
             }
         }
         self.answer_inquiries(id);
@@ -369,8 +413,8 @@
 
     /// Updates which gates are only registrars, and which have registrations of open jobs.
     pub(super) fn mark_registrars(&mut self) {
-        let registrations = self.jobs.values().map(|job| &job.registration);
-        let used: HashSet<&Arc<str>> = registrations.filter_map(Registration::registrar).collect();
+        let jobs = self.jobs.values();
+        let used: HashSet<&Arc<str>> = jobs.flat_map(|job| &job.asked_registrars).collect();
         for (name, gate) in &mut self.gates {
             gate.is_only_registrar = self.subset.is_only_registrar(name);
             gate.has_registrations = used.contains(name);
@@ -387,30 +431,35 @@
     }
 
     /// Registers open jobs at a registrar that has answered a hello: those that prefer it, unless
-    /// another entry holds them, and those that wait for its answer on an earlier session.
-    pub(super) fn renew_registrations(&mut self, now: Moment, gate: &Arc<str>) {
+    /// another entry holds them, and those that wait for its answer on an earlier session. A new
+    /// incarnation of it does not know yet which jobs are held.
+    pub(super) fn renew_registrations(&mut self, now: Moment, gate: &Arc<str>, is_new: bool) {
         if !self.subset.registrars().is_wanted(gate) {
             return;
         }
         let registrars = self.subset.registrars();
         let mut confirmed = Vec::new();
         for (id, job) in &mut self.jobs {
+            let mut first = registrars.of_job(*id).take(CONFIRMED_REGISTRARS);
             let is_preferred = registrars.of_job(*id).next() == Some(gate);
             let was_asked = job.registration.registrar() == Some(gate);
             match job.registration {
-                Registration::Confirmed { .. } if is_preferred => confirmed.push(*id),
-                Registration::Confirmed { .. } => {}
-                Registration::HeldElsewhere { .. } if !was_asked => {}
-                _ if is_preferred || was_asked => {
+                Registration::Confirmed { .. } if was_asked || first.any(|one| one == gate) => {
+                    confirmed.push(*id);
+                }
+                Registration::Requested { .. } if is_preferred || was_asked => {
                     job.registration = Registration::Missing;
                     job.asked_registrars.clear();
                 }
+                Registration::Postponed { .. } if is_preferred && !is_new => {
+                    job.registration = Registration::Missing;
+                }
                 _ => {}
             }
         }
         self.placement_due = true;
         for id in confirmed {
-            self.send_registration(now, id, gate, true);
+            self.confirm_at(now, id, gate);
         }
     }
 
@@ -433,7 +482,7 @@
             let Some(next) = self.open_registrars(id).next().cloned() else {
                 continue;
             };
-            self.send_registration(now, id, &next, true);
+            self.confirm_at(now, id, &next);
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.registration = Registration::Confirmed { registrar: next };
             }
--- a/src/ephemeral/gate/registrations.rs
+++ b/src/ephemeral/gate/registrations.rs
@@ -1,4 +1,4 @@
-//! Registrations of jobs, by which entries with the same job find each other.
+//! Registrations of jobs, which keep entries with the same job from running it at the same time.
 //!
 //! The first entry that registers a job here holds it, and its tasks may start. Another one has to
 //! wait until the holder has released the job, which the gate asks it for, or until no run of the
@@ -7,7 +7,7 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use slog::{info, warn};
+use slog::info;
 
 use super::Gate;
 use crate::ephemeral::job::JobId;
@@ -152,14 +152,9 @@
         match self.registrations.holder(job) {
             None => self.registrations.insert(job, entry.clone(), until_us),
             Some(holder) if holder == entry => self.registrations.set_end(job, until_us),
-            Some(holder) if confirmed => {
-                warn!(self.log, "job is held by two entries"; "job" => %job,
-                    "entry" => &*entry.name, "holder" => &*holder.name);
-                return;
-            }
             Some(holder) => {
                 info!(self.log, "job is held by another entry"; "job" => %job,
-                    "entry" => &*entry.name, "holder" => &*holder.name);
+                    "entry" => &*entry.name, "holder" => &*holder.name, "both" => confirmed);
                 self.registrations.add_waiting(job, entry.clone(), until_us);
                 self.send(entry, ToEntry::HeldElsewhere { job });
                 self.inquire(job);
@@ -271,7 +266,7 @@
         last_frame_us.max(self.registrations.reading_since_us) + micros(silence)
     }
 
-    /// Shortens the registrations of an entry that has expired.
+    /// Shortens the registrations of an entry that has expired, and removes it where it waits.
     pub(super) fn expire_registrations(&mut self, entry: &ProcessId, last_frame_us: u64) {
         let until_us = self.runs_end_us(last_frame_us);
         let of_entry = self.registrations.jobs.iter();
@@ -282,5 +277,9 @@
         for job in jobs {
             self.registrations.set_end(job, until_us);
         }
+        let contested = self.registrations.contested.iter().copied();
+        for job in contested.collect::<Vec<JobId>>() {
+            self.registrations.remove_waiting(job, entry);
+        }
     }
 }
--- a/src/ephemeral/registrars.rs
+++ b/src/ephemeral/registrars.rs
@@ -1,9 +1,9 @@
 //! Registrars: the gates at which entries register jobs before they start a task.
 //!
 //! Two entries may have the same job, as a caller without an answer resends it to any entry and
-//! the network may deliver its first request late. They find each other because all entries
-//! choose the same registrars, by a hash of the gates' names, and the same registrar for a job, by
-//! a hash of both. The number of registrars grows with the square root of the fleet, which bounds
+//! the network may deliver its first request late. All entries choose the same registrars, by a
+//! hash of the gates' names, and the same registrar for a job, by a hash of both, so that it
+//! detects the conflict. The number of registrars grows with the square root of the fleet, which bounds
 //! both the sessions of an entry and the jobs of a registrar.
 
 use std::collections::{BTreeMap, HashSet};
--- a/tests/ephemeral_late_requests.rs
+++ b/tests/ephemeral_late_requests.rs
@@ -57,8 +57,20 @@
     }
 }
 
-/// Events of a random case: late requests and faults of entries.
-fn run_random_case(seed: u64) -> Fleet {
+/// Longest pause of a gate. It answers later than the next one is asked then, but is not lost.
+const GATE_PAUSE_MS: u64 = 200;
+
+/// Faults of a random case.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Faults {
+    /// Entries die, freeze and lose their connections.
+    Entries,
+    /// Gates pause.
+    Gates,
+}
+
+/// Plays a random case: late requests and faults.
+fn run_random_case(seed: u64, faults: Faults) -> Fleet {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut fleet = Fleet::with_registrars(seed, limits());
     for _ in 0..EVENTS_PER_CASE {
@@ -74,6 +86,10 @@
                 let job = fleet.last_job();
                 fleet.deliver_late(job, entry);
             }
+            _ if faults == Faults::Gates => {
+                let gate = rng.random_range(0..6);
+                fleet.freeze_gate(gate, rng.random_range(0..GATE_PAUSE_MS) * MS);
+            }
             7 => fleet.kill_entry(entry),
             8 => fleet.freeze_entry(entry, span_us),
             _ => fleet.reset_connections(entry),
@@ -89,7 +105,17 @@
 #[test]
 fn no_runs_overlap_when_requests_are_late_and_entries_fail() {
     for seed in 0..CASES {
-        let fleet = run_random_case(seed);
+        let fleet = run_random_case(seed, Faults::Entries);
+        assert_holds(&fleet, seed);
+        assert!(fleet.completed > 0, "seed {seed}");
+    }
+}
+
+/// Guards against two runs of a task at once when registrars answer late.
+#[test]
+fn no_runs_overlap_when_requests_are_late_and_gates_pause() {
+    for seed in 0..CASES {
+        let fleet = run_random_case(seed, Faults::Gates);
         assert_holds(&fleet, seed);
         assert!(fleet.completed > 0, "seed {seed}");
     }
--- a/tests/ephemeral_registrations.rs
+++ b/tests/ephemeral_registrations.rs
@@ -339,6 +339,55 @@
     );
 }
 
+/// Guards against a start by the late answer of another registrar than the one that has reported
+/// that the job is held.
+#[test]
+fn only_the_registrar_that_reports_a_holder_can_end_the_wait() {
+    let mut bench = dispatcher(5);
+    let first = submitted(&mut bench);
+    bench.advance(60);
+    let second = requested(&mut bench)[0].0.0;
+    bench.deliver(second, ToEntry::HeldElsewhere { job: JOB });
+    bench.deliver(first, ToEntry::Registered { job: JOB });
+    assert_eq!(bench.starts, []);
+    bench.deliver(second, ToEntry::Registered { job: JOB });
+    assert_eq!(bench.starts.len(), 2);
+}
+
+/// Guards against two entries that go on with a job after a registrar has detected it.
+#[test]
+fn entry_stops_a_job_that_is_held_at_a_preferred_registrar() {
+    let mut bench = dispatcher(5);
+    let first = submitted(&mut bench);
+    bench.advance(60);
+    let second = requested(&mut bench)[0].0.0;
+    bench.deliver(second, ToEntry::Registered { job: JOB });
+    assert_eq!(bench.starts.len(), 2);
+    bench.deliver(first, ToEntry::HeldElsewhere { job: JOB });
+    assert_eq!(bench.stops.len(), 2);
+}
+
+/// Guards against two entries that both stop.
+#[test]
+fn entry_goes_on_with_a_job_that_is_held_at_a_less_preferred_registrar() {
+    let mut bench = dispatcher(5);
+    let first = submitted(&mut bench);
+    bench.deliver(first, ToEntry::Registered { job: JOB });
+    let others = bench.actions.iter().filter_map(|action| match action {
+        DispatchAction::Send {
+            session,
+            message: ToGate::Register {
+                confirmed: true, ..
+            },
+        } => Some(session.0),
+        _ => None,
+    });
+    let others: Vec<u64> = others.collect();
+    assert_eq!(others.len(), 1, "a second registrar knows of the job");
+    bench.deliver(others[0], ToEntry::HeldElsewhere { job: JOB });
+    assert_eq!(bench.stops, []);
+}
+
 /// Guards against running a job again that another entry has completed.
 #[test]
 fn job_that_another_entry_has_completed_is_answered_without_a_start() {
