--- a/src/ephemeral/dispatcher/gates.rs
+++ b/src/ephemeral/dispatcher/gates.rs
@@ -293,7 +293,7 @@
     /// Whether a session with this gate is needed, for new work or for open runs.
     pub fn wants_session(&self, gate: &str) -> bool {
         let has_work = |view: &GateView| view.has_runs();
-        self.subset.is_wanted(gate) || self.gates.get(gate).is_some_and(has_work)
+        self.subset.needs_session(gate) || self.gates.get(gate).is_some_and(has_work)
     }
 
     /// Closes sessions outside the subset once they have had no work for the linger time.
@@ -302,7 +302,7 @@
         self.mark_registrars();
         let (linger, subset) = (self.limits.linger, &self.subset);
         let surplus = self.gates.extract_if(.., |name, gate| {
-            let unwanted = subset.is_known(name) && !subset.is_wanted(name);
+            let unwanted = subset.is_known(name) && !subset.needs_session(name);
             unwanted && gate.session.is_some() && !gate.is_busy(now, linger)
         });
         let sessions: Vec<SessionId> = surplus.filter_map(|(_, gate)| gate.session).collect();
--- a/src/ephemeral/subset.rs
+++ b/src/ephemeral/subset.rs
@@ -274,14 +274,19 @@
         (self.candidates.len(), self.wanted.len())
     }
 
-    /// Whether the gate is in the subset, or a registrar.
+    /// Whether the gate is in the subset.
     pub fn is_wanted(&self, gate: &str) -> bool {
-        self.wanted.contains(gate) || self.registrars.is_wanted(gate)
+        self.wanted.contains(gate)
+    }
+
+    /// Whether a session with the gate is needed, as it is in the subset or a registrar.
+    pub fn needs_session(&self, gate: &str) -> bool {
+        self.is_wanted(gate) || self.registrars.is_wanted(gate)
     }
 
     /// Whether the gate is a registrar outside the subset.
     pub fn is_only_registrar(&self, gate: &str) -> bool {
-        !self.wanted.contains(gate) && self.registrars.is_wanted(gate)
+        !self.is_wanted(gate) && self.registrars.is_wanted(gate)
     }
 
     /// The gates at which jobs are registered.
